--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/discovery/registry.py
@@ -0,0 +1,121 @@
+"""The servers that may get work, from entries that come, change and vanish.
+
+The load that this answers: servers that drain, end, start again under their id, and
+give their address to others, while the source of the entries is away, drops its
+history, or lets entries lapse that are back a moment later.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from cardamomtack.discovery.const import HOLD_LAPSED_S
+from cardamomtack.discovery.entry import ServerEntry
+from cardamomtack.helpers.clock import Clock
+from cardamomtack.placing.server import ServerView, ServiceView
+
+
+class ServerRegistry:
+    """Keeps the servers of each service.
+
+    Parameters
+    ----------
+    clock : Clock
+        Tells the time.
+
+    Attributes
+    ----------
+    is_known : bool
+        Whether the entries have been read once.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_held",
+        "_listeners",
+        "_trouble_until_s",
+        "is_known",
+        "servers",
+        "services",
+    )
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._held: dict[str, float] = {}
+        self._listeners: list[Callable[[ServerView], None]] = []
+        self._trouble_until_s = 0.0
+        self.is_known = False
+        self.servers: dict[str, ServerView] = {}
+        self.services: dict[str, ServiceView] = {}
+
+    def add_listener(self, listener: Callable[[ServerView], None]) -> None:
+        """Call a listener with each server that is removed."""
+        self._listeners.append(listener)
+
+    def find_service(self, name: str) -> ServiceView:
+        """Return the servers of a service, none when it is unknown."""
+        service = self.services.get(name)
+        if service is None:
+            service = ServiceView(name)
+            self.services[name] = service
+        return service
+
+    def note_source_trouble(self) -> None:
+        """Note that the source of the entries can't be read at the moment."""
+        self._trouble_until_s = self._clock.read_monotonic_s() + HOLD_LAPSED_S
+
+    def apply_entry(self, entry: ServerEntry) -> None:
+        """Take an entry; one of an older incarnation is passed over."""
+        now_s = self._clock.read_monotonic_s()
+        known = self.servers.get(entry.server_id)
+        if known is not None:
+            if entry.incarnation < known.entry.incarnation:
+                return
+            self._held.pop(entry.server_id, None)
+            if known.describes(entry):
+                known.apply_entry(entry, now_s)
+                return
+            self._remove(known)
+        server = ServerView(entry, now_s)
+        self.servers[entry.server_id] = server
+        self.find_service(entry.service).members.append(server)
+
+    def remove_entry(self, server_id: str) -> None:
+        """Take note that the entry of a server has vanished."""
+        server = self.servers.get(server_id)
+        if server is None:
+            return
+        now_s = self._clock.read_monotonic_s()
+        if now_s < self._trouble_until_s and not server.entry.is_draining:
+            # Entries lapse with their source; those of live servers soon come back.
+            self._held.setdefault(server_id, now_s + HOLD_LAPSED_S)
+            return
+        self._remove(server)
+
+    def replace_entries(self, entries: list[ServerEntry]) -> None:
+        """Take all entries at once; what they don't name has vanished."""
+        named = {entry.server_id for entry in entries}
+        for server_id in [one for one in self.servers if one not in named]:
+            self.remove_entry(server_id)
+        for entry in entries:
+            self.apply_entry(entry)
+        self.is_known = True
+
+    def drop_lapsed(self) -> None:
+        """Remove the servers whose entries have not come back."""
+        now_s = self._clock.read_monotonic_s()
+        if now_s < self._trouble_until_s - HOLD_LAPSED_S:
+            return
+        for server_id, until_s in list(self._held.items()):
+            if now_s >= until_s:
+                del self._held[server_id]
+                self._remove(self.servers[server_id])
+
+    def _remove(self, server: ServerView) -> None:
+        """Remove a server."""
+        del self.servers[server.entry.server_id]
+        self._held.pop(server.entry.server_id, None)
+        self.find_service(server.entry.service).members.remove(server)
+        server.is_gone = True
+        for listener in self._listeners:
+            listener(server)
--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/placing/budget.py
@@ -0,0 +1,54 @@
+"""The budget of sends beyond the first, which the VMs of the fleet share unasked.
+
+The load that this answers: servers that fail or refuse while many callers press.
+Each VM spends a share of its own requests and a fixed small slack, so the sum of the
+fleet stays within the bound, whatever part of the requests a VM gets.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+from cardamomtack.placing.const import RETRY_SLACK_PER_VM, RETRY_WINDOW_SHARE
+
+
+class RetryBudget:
+    """Bounds the further sends to one service in any window of time.
+
+    Parameters
+    ----------
+    share : float
+        Further sends that the fleet may make for each request.
+    window_s : float
+        Length of the window, in seconds.
+    """
+
+    __slots__ = ("_further", "_requests", "refused", "share", "window_s")
+
+    def __init__(self, share: float, window_s: float) -> None:
+        self.share = share
+        self.window_s = window_s
+        self.refused = 0
+        self._further: deque[float] = deque()
+        self._requests: deque[float] = deque()
+
+    def record_request(self, now_s: float) -> None:
+        """Count a request of a caller."""
+        self._requests.append(now_s)
+
+    def spend_send(self, now_s: float) -> bool:
+        """Return whether one further send may be made, and pay for it."""
+        _drop_old(self._further, now_s - self.window_s)
+        _drop_old(self._requests, now_s - self.window_s)
+        allowed = len(self._requests) * self.share * RETRY_WINDOW_SHARE
+        if len(self._further) + 1 > allowed + RETRY_SLACK_PER_VM:
+            self.refused += 1
+            return False
+        self._further.append(now_s)
+        return True
+
+
+def _drop_old(times: deque[float], until_s: float) -> None:
+    """Drop the times before the window."""
+    while times and times[0] <= until_s:
+        times.popleft()
--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/placing/const.py
@@ -0,0 +1,20 @@
+"""Constants of the placing area."""
+
+from typing import Final
+
+ASKED_MAX: Final = 4
+EJECTION_FAILURES: Final = 3
+EJECTION_S_MAX: Final = 4.0
+EJECTION_S_MIN: Final = 0.5
+FAILURE_COST_FACTOR: Final = 6.0
+FAILURE_GAIN: Final = 0.25
+FAILURE_HALF_LIFE_S: Final = 3.0
+FULL_SHARE: Final = 0.8
+FULL_SLOWDOWN: Final = 1.7
+RETRY_SLACK_PER_VM: Final = 1
+RETRY_WINDOW_SHARE: Final = 0.8
+SPEED_HOLD_S: Final = 0.3
+WARM_UP_COST_FACTOR: Final = 1.0
+WORK_GAIN: Final = 0.1
+WORK_INITIAL_S: Final = 0.2
+ZONE_CROSSING_S: Final = 0.02
--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -0,0 +1,185 @@
+"""What one VM knows of the load and health of one backend server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cardamomtack.discovery.entry import ServerEntry
+from cardamomtack.placing.const import (
+    EJECTION_FAILURES,
+    EJECTION_S_MAX,
+    EJECTION_S_MIN,
+    FAILURE_GAIN,
+    FAILURE_HALF_LIFE_S,
+)
+
+SLOWNESS_USUAL = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class LoadReport:
+    """The load that a server tells.
+
+    Attributes
+    ----------
+    slowness : float
+        How many times as long as usual work takes at this moment.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float = SLOWNESS_USUAL
+
+
+class ServerView:
+    """One incarnation of a backend server, as this VM sees it.
+
+    Parameters
+    ----------
+    entry : ServerEntry
+        What the server says of itself.
+    now_s : float
+        Monotonic time, in seconds.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests of this VM that the server has not answered.
+    sent_since_report : int
+        Requests of this VM that the last report can't hold yet.
+    is_gone : bool
+        Whether the entry has vanished.
+    """
+
+    __slots__ = (
+        "_failed_in_row",
+        "_failure_at_s",
+        "_failure_share",
+        "_warm_at_s",
+        "ejected_until_s",
+        "entry",
+        "in_flight",
+        "is_gone",
+        "report",
+        "reported_at_s",
+        "sent_since_report",
+    )
+
+    def __init__(self, entry: ServerEntry, now_s: float) -> None:
+        self._failed_in_row = 0
+        self._failure_at_s = now_s
+        self._failure_share = 0.0
+        self._warm_at_s = now_s + entry.warm_up_left_s
+        self.ejected_until_s = 0.0
+        self.entry = entry
+        self.in_flight = 0
+        self.is_gone = False
+        self.report: LoadReport | None = None
+        self.reported_at_s = 0.0
+        self.sent_since_report = 0
+
+    @property
+    def vm_id(self) -> str:
+        """Return the id of the server."""
+        return self.entry.server_id
+
+    @property
+    def address(self) -> str:
+        """Return the IP address."""
+        return self.entry.address
+
+    @property
+    def port(self) -> int:
+        """Return the port."""
+        return self.entry.port
+
+    def describes(self, entry: ServerEntry) -> bool:
+        """Return whether an entry still means this server."""
+        known = self.entry
+        return (
+            entry.service == known.service
+            and entry.address == known.address
+            and entry.port == known.port
+            and entry.incarnation == known.incarnation
+        )
+
+    def apply_entry(self, entry: ServerEntry, now_s: float) -> None:
+        """Take a newer entry of the same server."""
+        self.entry = entry
+        self._warm_at_s = now_s + entry.warm_up_left_s
+
+    def is_usable(self, now_s: float) -> bool:
+        """Return whether the server may get new work."""
+        if self.is_gone or self.entry.is_draining:
+            return False
+        return self.ejected_until_s <= now_s
+
+    def is_warming(self, now_s: float) -> bool:
+        """Return whether the server is still slow after its start."""
+        return now_s < self._warm_at_s
+
+    def record_report(self, report: LoadReport, now_s: float) -> None:
+        """Take a load report that has just arrived."""
+        self.report = report
+        self.reported_at_s = now_s
+        self.sent_since_report = 0
+
+    def record_send(self) -> None:
+        """Count a request that is being sent."""
+        self.in_flight += 1
+        self.sent_since_report += 1
+
+    def record_end(self) -> None:
+        """Count a request that has ended."""
+        self.in_flight -= 1
+
+    def record_success(self, now_s: float) -> None:
+        """Note an answer that is no failure of the server."""
+        self._failed_in_row = 0
+        self._move_failure_share(0.0, now_s)
+        self.ejected_until_s = 0.0
+
+    def record_failure(self, now_s: float) -> None:
+        """Note a failure; several in a row eject the server for a while."""
+        self._failed_in_row += 1
+        self._move_failure_share(1.0, now_s)
+        beyond = self._failed_in_row - EJECTION_FAILURES
+        if beyond >= 0:
+            pause_s = min(EJECTION_S_MAX, EJECTION_S_MIN * 2.0**beyond)
+            self.ejected_until_s = now_s + pause_s
+
+    def record_unreachable(self, now_s: float) -> None:
+        """Note that no connection could be opened; the server rests at once."""
+        self._failed_in_row = max(self._failed_in_row + 1, EJECTION_FAILURES)
+        beyond = self._failed_in_row - EJECTION_FAILURES
+        pause_s = min(EJECTION_S_MAX, EJECTION_S_MIN * 2.0**beyond)
+        self.ejected_until_s = now_s + pause_s
+
+    def estimate_failure_share(self, now_s: float) -> float:
+        """Return the recent share of failures, fading with time."""
+        age_s = max(0.0, now_s - self._failure_at_s)
+        return self._failure_share * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+
+    def _move_failure_share(self, outcome: float, now_s: float) -> None:
+        """Move the share of failures towards an outcome."""
+        share = self.estimate_failure_share(now_s)
+        self._failure_share = share + FAILURE_GAIN * (outcome - share)
+        self._failure_at_s = now_s
+
+
+class ServiceView:
+    """The servers of one service.
+
+    Attributes
+    ----------
+    tells_load : bool or None
+        Whether its servers report their load; None before any has answered.
+    """
+
+    __slots__ = ("members", "name", "tells_load")
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.members: list[ServerView] = []
+        self.tells_load: bool | None = None
--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/routing/policy.py
@@ -0,0 +1,101 @@
+"""What operators say about routes, services and callers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Repeatability(Enum):
+    """How often a request of a kind may run."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE_PER_SEND = "at most once per send"
+    ONCE_PER_KEY = "at most once per key"
+
+
+@dataclass(slots=True, frozen=True)
+class ServicePart:
+    """A service and its weight among the services of a route."""
+
+    service: str
+    weight: float
+
+
+@dataclass(slots=True, frozen=True)
+class RoutePolicy:
+    """How the requests of one route are treated.
+
+    Attributes
+    ----------
+    path_prefix : str
+        Begins and ends with a slash.
+    parts : tuple of ServicePart
+        Where requests go; their shares follow the weights.
+    attempts_max : int
+        Most backend servers that one send of a caller may be passed on to.
+    timeout_s : float
+        Longest time that a caller is kept waiting, in seconds.
+    objective_s : float
+        Latency objective, in seconds.
+    priority : int
+        0 is the most urgent.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    parts: tuple[ServicePart, ...]
+    repeatability: Repeatability
+    attempts_max: int
+    timeout_s: float
+    objective_s: float
+    priority: int
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.repeatability is Repeatability.IDEMPOTENT
+
+
+@dataclass(slots=True, frozen=True)
+class BackendService:
+    """A service of backend servers.
+
+    Attributes
+    ----------
+    health_path : str
+        Path of its health check.
+    connections_max : int
+        Connections that one server accepts from all callers together.
+    """
+
+    name: str
+    health_path: str
+    connections_max: int
+
+
+@dataclass(slots=True, frozen=True)
+class CallerLimits:
+    """Bounds of what a caller may send, and of how long it may take."""
+
+    header_bytes_max: int
+    body_bytes_max: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class FleetConfiguration:
+    """One version of the configuration of the whole fleet.
+
+    Attributes
+    ----------
+    version : int
+        Grows with every accepted change, in uneven steps.
+    """
+
+    version: int
+    routes: tuple[RoutePolicy, ...]
+    services: dict[str, BackendService]
+    limits: CallerLimits
--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/routing/table.py
@@ -0,0 +1,95 @@
+"""The routes in force: finds the route of a request and deals it to a service."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from cardamomtack.routing.policy import CallerLimits, FleetConfiguration, RoutePolicy
+from cardamomtack.routing.split import EvenSplit
+
+
+class PrefixRoutes:
+    """Finds routes by host and longest path prefix, and follows the versions.
+
+    Parameters
+    ----------
+    random : Random
+        Starts the splits of the VMs at different places.
+
+    Attributes
+    ----------
+    configuration : FleetConfiguration or None
+        The version in force; None before the first.
+    """
+
+    __slots__ = ("_hosts", "_listeners", "_random", "_splits", "configuration")
+
+    def __init__(self, random: Random) -> None:
+        self._hosts: dict[bytes, dict[bytes, RoutePolicy]] = {}
+        self._listeners: list[Callable[[FleetConfiguration], None]] = []
+        self._random = random
+        self._splits: dict[str, EvenSplit] = {}
+        self.configuration: FleetConfiguration | None = None
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, or -1 before the first."""
+        return self.configuration.version if self.configuration is not None else -1
+
+    @property
+    def limits(self) -> CallerLimits | None:
+        """Return the bounds of callers, or None before the first version."""
+        return self.configuration.limits if self.configuration is not None else None
+
+    def add_listener(self, listener: Callable[[FleetConfiguration], None]) -> None:
+        """Call a listener with each version that comes into force."""
+        self._listeners.append(listener)
+
+    def apply_configuration(self, configuration: FleetConfiguration) -> bool:
+        """Put a version in force unless one as new is, and return whether it was."""
+        if configuration.version <= self.version:
+            return False
+        hosts: dict[bytes, dict[bytes, RoutePolicy]] = {}
+        splits: dict[str, EvenSplit] = {}
+        for route in configuration.routes:
+            routes = hosts.setdefault(route.host.lower().encode(), {})
+            routes[route.path_prefix.encode()] = route
+            known = self._splits.get(route.name)
+            if known is None or known.parts != route.parts:
+                known = EvenSplit(route.parts, self._random)
+            splits[route.name] = known
+        self._hosts = hosts
+        self._splits = splits
+        self.configuration = configuration
+        for listener in self._listeners:
+            listener(configuration)
+        return True
+
+    def find_route(self, host: bytes, target: bytes) -> RoutePolicy | None:
+        """Return the route of a request, or None when no route matches.
+
+        Parameters
+        ----------
+        host : bytes
+            Value of the Host header, with or without a port.
+        target : bytes
+            Request target: a path, with or without a query.
+        """
+        routes = self._hosts.get(host.partition(b":")[0].lower())
+        if routes is None:
+            return None
+        path = target.partition(b"?")[0]
+        end = path.rfind(b"/")
+        while end >= 0:
+            route = routes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind(b"/", 0, end)
+        return None
+
+    def deal_service(self, route: RoutePolicy) -> str:
+        """Return the service that the next request of a route goes to."""
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        return self._splits[route.name].deal()
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/asking.py
@@ -0,0 +1,167 @@
+"""Asking servers for their load, on the connections that then carry the request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from anyio import Event, create_task_group, move_on_after
+
+from cardamomtack.helpers.clock import Clock
+from cardamomtack.placing.server import ServerView, ServiceView
+from cardamomtack_daemon.forwarding.const import ASK_TIMEOUT_S, ASK_TIMEOUT_S_MAX
+from cardamomtack_daemon.forwarding.names import HeaderNames
+from cardamomtack_daemon.http1.client import BrokenAnswerError, ServerConnection
+from cardamomtack_daemon.http1.messages import HeaderList, HttpAnswer, find_field
+from cardamomtack_daemon.pool import (
+    CONNECTION_IDLE_S_MAX,
+    ConnectionPool,
+    ServerUnreachableError,
+)
+
+STATUS_OK = 200
+
+
+@dataclass(slots=True)
+class AskedServer:
+    """A server that has told its load, and the connection on which it did."""
+
+    server: ServerView
+    connection: ServerConnection
+
+
+class ServerAsker:
+    """Asks servers for their load and health just before a send.
+
+    An answer also proves that its connection is alive and that the server is the one
+    that is meant, so nothing is sent on a connection that has gone silent.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Connections to servers.
+    names : HeaderNames
+        Names of header fields.
+    clock : Clock
+        Tells the time.
+
+    Attributes
+    ----------
+    asked : int
+        Health checks sent.
+    """
+
+    __slots__ = ("_clock", "_names", "_pool", "asked", "health_paths")
+
+    def __init__(self, pool: ConnectionPool, names: HeaderNames, clock: Clock) -> None:
+        self._clock = clock
+        self._names = names
+        self._pool = pool
+        self.asked = 0
+        self.health_paths: dict[str, bytes] = {}
+
+    async def async_ask(
+        self, service: ServiceView, servers: list[ServerView]
+    ) -> list[AskedServer]:
+        """Return the servers that have answered in time that they take work."""
+        asked: list[AskedServer] = []
+        if not servers:
+            return asked
+        first = Event()
+        last = Event()
+        missing = len(servers)
+
+        async def ask(server: ServerView) -> None:
+            nonlocal missing
+            connection = await self._async_ask_server(service, server)
+            missing -= 1
+            if connection is not None:
+                asked.append(AskedServer(server, connection))
+                first.set()
+            if missing == 0:
+                first.set()
+                last.set()
+
+        async with create_task_group() as tasks:
+            for server in servers:
+                tasks.start_soon(ask, server)
+            with move_on_after(ASK_TIMEOUT_S):
+                await last.wait()
+            if not asked:
+                with move_on_after(ASK_TIMEOUT_S_MAX):
+                    await first.wait()
+            tasks.cancel_scope.cancel()
+        return asked
+
+    def release(self, asked: list[AskedServer], chosen: AskedServer | None) -> None:
+        """Give back the connections of the servers that were not chosen."""
+        for one in asked:
+            if one is not chosen:
+                self._pool.release(one.server, one.connection)
+
+    async def _async_ask_server(
+        self, service: ServiceView, server: ServerView
+    ) -> ServerConnection | None:
+        """Return the connection of a server that takes work, or None."""
+        try:
+            connection = await self._pool.async_acquire(server, CONNECTION_IDLE_S_MAX)
+        except ServerUnreachableError:
+            server.record_unreachable(self._clock.read_monotonic_s())
+            return None
+        is_kept = False
+        try:
+            is_kept = await self._async_check(service, server, connection)
+        except BrokenAnswerError:
+            # An idle connection may end at any time; that says nothing of the server.
+            if connection.requests <= 1:
+                server.record_failure(self._clock.read_monotonic_s())
+        finally:
+            if not is_kept:
+                self._pool.discard(connection)
+        return connection if is_kept else None
+
+    async def _async_check(
+        self, service: ServiceView, server: ServerView, connection: ServerConnection
+    ) -> bool:
+        """Send a health check and return whether the server takes work.
+
+        Raises
+        ------
+        BrokenAnswerError
+            When the answer is cut or malformed.
+        """
+        path = self.health_paths.get(service.name, b"/")
+        self.asked += 1
+        connection.send(
+            b"GET %b HTTP/1.1\r\nhost: %b\r\n\r\n" % (path, server.address.encode()),
+            is_head=False,
+            check=self._is_health_answer,
+        )
+        answer = await connection.async_receive(65536)
+        if answer is None:
+            return False
+        named = answer.find_header(self._names.server_id)
+        if named is not None and named != server.vm_id.encode():
+            # Another server has the address now.
+            server.record_unreachable(self._clock.read_monotonic_s())
+            return False
+        self._record_load(service, server, answer)
+        if answer.status != STATUS_OK:
+            server.record_failure(self._clock.read_monotonic_s())
+            return False
+        return connection.is_quiet()
+
+    def _record_load(
+        self, service: ServiceView, server: ServerView, answer: HttpAnswer
+    ) -> None:
+        """Take the load that an answer tells."""
+        value = answer.find_header(self._names.load)
+        report = self._names.parse_load(value) if value is not None else None
+        if report is not None:
+            service.tells_load = True
+            server.record_report(report, self._clock.read_monotonic_s())
+        elif service.tells_load is None and answer.status == STATUS_OK:
+            service.tells_load = False
+
+    def _is_health_answer(self, status: int, headers: HeaderList) -> bool:
+        """Return whether an answer is not one to a request."""
+        return find_field(headers, self._names.request_id) is None
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -0,0 +1,213 @@
+"""One send of a request to one backend server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from anyio import sleep
+
+from cardamomtack.helpers.clock import Clock
+from cardamomtack.placing.server import ServerView
+from cardamomtack.quarantine.ledger import CrashLedger
+from cardamomtack_daemon.forwarding.asking import AskedServer
+from cardamomtack_daemon.forwarding.call import STATUS_MISDIRECTED, ForwardedCall
+from cardamomtack_daemon.forwarding.const import (
+    ANSWER_BUFFER_BYTES_MAX,
+    CRASH_CHECK_S,
+)
+from cardamomtack_daemon.http1.client import BrokenAnswerError, ServerConnection
+from cardamomtack_daemon.http1.messages import HttpAnswer
+from cardamomtack_daemon.pool import ConnectionPool, ServerUnreachableError
+
+STATUS_FAILURE_MIN = 500
+STATUS_GATEWAY_TIMEOUT = 504
+STATUS_SUCCESS_MAX = 299
+STATUS_SUCCESS_MIN = 200
+
+
+class SendOutcome(Enum):
+    """What became of a send."""
+
+    ANSWERED = "answered"
+    FAILED = "server answered with a failure"
+    NOT_RUN = "server proved that it did not run the request"
+    BROKEN = "no whole answer of the server; it may have run the request"
+    OVERDUE = "no answer before the deadline"
+
+
+@dataclass(slots=True)
+class SendResult:
+    """What a send brought.
+
+    Attributes
+    ----------
+    answer : HttpAnswer or None
+        The server's answer, for all outcomes that have one.
+    rest : AnswerRest or None
+        The source of the rest of a long answer.
+    """
+
+    outcome: SendOutcome
+    answer: HttpAnswer | None = None
+    rest: AnswerRest | None = None
+
+
+class AnswerRest:
+    """The rest of a long answer that is still arriving.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Takes the connection back.
+    server : ServerView
+        Where the answer comes from.
+    connection : ServerConnection
+        On which it arrives.
+    """
+
+    __slots__ = ("_connection", "_pool", "_server")
+
+    def __init__(
+        self, pool: ConnectionPool, server: ServerView, connection: ServerConnection
+    ) -> None:
+        self._connection = connection
+        self._pool = pool
+        self._server = server
+
+    async def async_receive_more(self) -> bytes | None:
+        """Return the next part of the body, or None after its end."""
+        return await self._connection.async_receive_more()
+
+    async def async_release(self) -> None:
+        """Give the connection back after the answer, whole or cut."""
+        self._server.record_end()
+        self._pool.release(self._server, self._connection)
+
+
+class RequestSender:
+    """Sends requests to servers and judges their answers.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Takes connections back.
+    ledger : CrashLedger
+        Suspects of crashes.
+    clock : Clock
+        Tells the time.
+    """
+
+    __slots__ = ("_clock", "_digests", "_ledger", "_pool")
+
+    def __init__(
+        self, pool: ConnectionPool, ledger: CrashLedger, clock: Clock
+    ) -> None:
+        self._clock = clock
+        self._digests: dict[str, list[bytes]] = {}
+        self._ledger = ledger
+        self._pool = pool
+
+    def give_back(self, asked: AskedServer) -> None:
+        """Give back the connection of a server that gets nothing after all."""
+        self._pool.release(asked.server, asked.connection)
+
+    async def async_send(self, call: ForwardedCall, asked: AskedServer) -> SendResult:
+        """Send a request and return what became of it.
+
+        When it is cancelled, because the caller has gone, the connection is closed
+        and the server drops the work.
+        """
+        server = asked.server
+        connection = asked.connection
+        digests = self._digests.setdefault(server.vm_id, [])
+        call.sends += 1
+        call.tried.add(server.vm_id)
+        server.record_send()
+        digests.append(call.digest)
+        rest: AnswerRest | None = None
+        try:
+            result = await self._async_exchange(call, server, connection)
+            rest = result.rest
+        except BrokenAnswerError as error:
+            server.record_failure(self._clock.read_monotonic_s())
+            if error.is_cut:
+                await self._async_check_crash(server)
+            result = SendResult(SendOutcome.BROKEN)
+        finally:
+            digests.remove(call.digest)
+            if rest is None:
+                server.record_end()
+                self._pool.release(server, connection)
+        return result
+
+    async def _async_exchange(
+        self, call: ForwardedCall, server: ServerView, connection: ServerConnection
+    ) -> SendResult:
+        """Send the request on a connection and receive its answer.
+
+        Raises
+        ------
+        BrokenAnswerError
+            When the answer is cut or malformed.
+        """
+        now_s = self._clock.read_monotonic_s()
+        connection.send(
+            call.encode(server.vm_id, now_s),
+            call.request.method == b"HEAD",
+            call.owns_answer,
+            accepts_unframed=True,
+        )
+        left_s = call.deadline_s - now_s
+        answer = await connection.async_receive(ANSWER_BUFFER_BYTES_MAX, left_s)
+        if answer is None:
+            return SendResult(SendOutcome.OVERDUE)
+        result = self._judge(call, server, answer)
+        if not answer.is_whole and result.answer is not None:
+            result.rest = AnswerRest(self._pool, server, connection)
+        return result
+
+    def _judge(
+        self, call: ForwardedCall, server: ServerView, answer: HttpAnswer
+    ) -> SendResult:
+        """Return what an answer says of its request and its server."""
+        now_s = self._clock.read_monotonic_s()
+        value = answer.find_header(call.names.load)
+        report = call.names.parse_load(value) if value is not None else None
+        if report is not None:
+            server.record_report(report, now_s)
+        if call.is_not_run(answer.status, answer.headers):
+            if answer.status == STATUS_MISDIRECTED:
+                server.record_unreachable(now_s)
+            return SendResult(SendOutcome.NOT_RUN, answer)
+        self._ledger.record_answer(call.digest)
+        is_success = STATUS_SUCCESS_MIN <= answer.status <= STATUS_SUCCESS_MAX
+        if is_success and answer.find_header(call.names.signature) is None:
+            server.record_failure(now_s)
+            return SendResult(SendOutcome.BROKEN)
+        if answer.status >= STATUS_FAILURE_MIN:
+            if answer.status != STATUS_GATEWAY_TIMEOUT:
+                server.record_failure(now_s)
+            return SendResult(SendOutcome.FAILED, answer)
+        server.record_success(now_s)
+        return SendResult(SendOutcome.ANSWERED, answer)
+
+    async def _async_check_crash(self, server: ServerView) -> None:
+        """Suspect what a server was running when it takes no connection any more."""
+        suspects = list(self._digests.get(server.vm_id, ()))
+        try:
+            connection = await self._pool.async_open(server.address, server.port)
+        except ServerUnreachableError:
+            self._note_crash(server, suspects)
+            return
+        # A process that dies may have its listener closed after its connections.
+        await sleep(CRASH_CHECK_S)
+        if not connection.is_quiet():
+            self._note_crash(server, suspects)
+        self._pool.release(server, connection)
+
+    def _note_crash(self, server: ServerView, suspects: list[bytes]) -> None:
+        """Note a crash of a server."""
+        server.record_unreachable(self._clock.read_monotonic_s())
+        self._pool.drop_server(server.vm_id)
+        self._ledger.record_crash(server.vm_id, suspects)
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
@@ -0,0 +1,74 @@
+"""A request on its way to backend servers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cardamomtack.helpers.clock import MS_PER_S
+from cardamomtack.routing.policy import RoutePolicy
+from cardamomtack_daemon.forwarding.names import HeaderNames
+from cardamomtack_daemon.http1.messages import (
+    HeaderList,
+    HttpRequest,
+    encode_request,
+    find_field,
+)
+
+STATUS_MISDIRECTED = 421
+
+
+@dataclass(slots=True)
+class ForwardedCall:
+    """One send of a caller.
+
+    Attributes
+    ----------
+    service : str
+        The service that the split of the route has dealt.
+    arrived_s, deadline_s : float
+        Monotonic times, in seconds.
+    digest : bytes
+        Digest of host, method, target and body.
+    tried : set of str
+        Ids of the servers that it was sent to or that did not take it.
+    sends : int
+        How many servers it was sent to.
+    """
+
+    request: HttpRequest
+    route: RoutePolicy
+    service: str
+    names: HeaderNames
+    request_id: bytes
+    arrived_s: float
+    deadline_s: float
+    digest: bytes
+    tried: set[str] = field(default_factory=set)
+    sends: int = 0
+
+    def encode(self, server_id: str, now_s: float) -> bytes:
+        """Return the request as it goes to a server.
+
+        The deadline that is passed on is what is left of the caller's.
+        """
+        names = self.names
+        replaced = (names.deadline_ms, names.target_server, b"expect")
+        request = self.request
+        headers = [field for field in request.headers if field[0] not in replaced]
+        left_ms = max(1, int((self.deadline_s - now_s) * MS_PER_S))
+        headers.append((names.deadline_ms, b"%d" % left_ms))
+        headers.append((names.target_server, server_id.encode()))
+        return encode_request(request.method, request.target, headers, request.body)
+
+    def owns_answer(self, status: int, headers: HeaderList) -> bool:
+        """Return whether an answer belongs to this send."""
+        echoed = find_field(headers, self.names.request_id)
+        if echoed is not None:
+            return echoed == self.request_id
+        return self.is_not_run(status, headers)
+
+    def is_not_run(self, status: int, headers: HeaderList) -> bool:
+        """Return whether an answer proves that the server did not run the request."""
+        if status == STATUS_MISDIRECTED:
+            return True
+        return find_field(headers, self.names.not_run) is not None
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/const.py
@@ -0,0 +1,19 @@
+"""Constants of the forwarding area."""
+
+from typing import Final
+
+ANSWER_BUFFER_BYTES_MAX: Final = 1_048_576
+ASK_TIMEOUT_S: Final = 0.03
+ASK_TIMEOUT_S_MAX: Final = 0.25
+BALANCER_NOTICE_S: Final = 2.5
+CALLER_CONNECTIONS_MAX: Final = 3000
+CLOCK_CHECK_S: Final = 0.25
+CLOCK_JUMP_S: Final = 0.4
+CRASH_CHECK_S: Final = 0.005
+DEADLINE_MARGIN_S: Final = 0.01
+DRAIN_CHECK_S: Final = 0.05
+EXIT_MARGIN_S: Final = 0.3
+IDLE_MARGIN_S: Final = 1.0
+MAINTENANCE_S: Final = 0.5
+OWN_ZONE_OBJECTIVE_SHARE: Final = 0.6
+SUSPECT_RETRY_AFTER_S: Final = 60.0
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -0,0 +1,215 @@
+"""The entry VM that forwards: its parts, their start, and its graceful shutdown."""
+
+from __future__ import annotations
+
+import gc
+import signal
+from collections.abc import Callable
+from random import Random
+
+from anyio import create_task_group, move_on_after, open_signal_receiver, sleep
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from cardamomtack.discovery.registry import ServerRegistry
+from cardamomtack.helpers.clock import Clock
+from cardamomtack.placing.chooser import PlacementChooser
+from cardamomtack.placing.server import ServerView
+from cardamomtack.quarantine.ledger import CrashLedger
+from cardamomtack.routing.policy import FleetConfiguration
+from cardamomtack.routing.table import PrefixRoutes
+from cardamomtack_daemon.forwarding.asking import ServerAsker
+from cardamomtack_daemon.forwarding.attempt import RequestSender
+from cardamomtack_daemon.forwarding.clocks import async_watch_clock
+from cardamomtack_daemon.forwarding.const import (
+    BALANCER_NOTICE_S,
+    CALLER_CONNECTIONS_MAX,
+    DRAIN_CHECK_S,
+    EXIT_MARGIN_S,
+    IDLE_MARGIN_S,
+    MAINTENANCE_S,
+)
+from cardamomtack_daemon.forwarding.forwarder import Forwarder
+from cardamomtack_daemon.forwarding.names import HeaderNames
+from cardamomtack_daemon.forwarding.placer import Placer
+from cardamomtack_daemon.forwarding.settings import EntrySettings
+from cardamomtack_daemon.forwarding.sources import FleetSource
+from cardamomtack_daemon.http1.messages import HttpAnswer, HttpRequest
+from cardamomtack_daemon.http1.server import (
+    AnswerSource,
+    CallerServer,
+    ConnectionLimits,
+)
+from cardamomtack_daemon.pool import ConnectionPool
+
+BODY_BYTES_MAX = 67_108_864
+GC_THRESHOLD = 20_000
+IDLE_S = 15.0
+READINESS_CONNECTIONS_MAX = 50
+
+SourceMaker = Callable[[PrefixRoutes, ServerRegistry], list[FleetSource]]
+
+
+class ReadinessHandler:
+    """Tells the platform's balancer whether it should send callers here.
+
+    Parameters
+    ----------
+    is_ready : callable
+        Returns whether a request could be served.
+    """
+
+    __slots__ = ("_is_ready",)
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    async def async_handle(
+        self, request: HttpRequest
+    ) -> tuple[HttpAnswer, AnswerSource | None]:
+        """Return 200 or 503."""
+        return HttpAnswer(200 if self._is_ready() else 503), None
+
+
+class EntryDaemon:
+    """All parts of one entry VM.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Settings of the VM.
+    names : HeaderNames
+        Names of header fields.
+    make_sources : callable
+        Returns the sources of configuration and servers.
+    clock : Clock
+        Tells the time.
+    random : Random
+        Source of choices.
+    """
+
+    __slots__ = (
+        "_asker",
+        "_callers",
+        "_forwarder",
+        "_is_leaving",
+        "_limits",
+        "_pool",
+        "_readiness",
+        "_registry",
+        "_routes",
+        "_settings",
+        "_sources",
+    )
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        names: HeaderNames,
+        make_sources: SourceMaker,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._is_leaving = False
+        self._settings = settings
+        self._pool = ConnectionPool(clock)
+        self._registry = ServerRegistry(clock)
+        self._registry.add_listener(self._drop_connections)
+        self._routes = PrefixRoutes(random)
+        self._routes.add_listener(self._apply_configuration)
+        self._sources = make_sources(self._routes, self._registry)
+        ledger = CrashLedger(clock)
+        chooser = PlacementChooser(random, settings.availability_zone)
+        self._asker = ServerAsker(self._pool, names, clock)
+        self._forwarder = Forwarder(
+            settings,
+            names,
+            self._routes,
+            Placer(self._registry, chooser, self._asker, self._pool, clock),
+            RequestSender(self._pool, ledger, clock),
+            ledger,
+            clock,
+            random,
+        )
+        self._limits = ConnectionLimits(
+            BODY_BYTES_MAX, CALLER_CONNECTIONS_MAX, IDLE_S, cancels_abandoned=True
+        )
+        self._callers = CallerServer(self._forwarder, self._limits, clock)
+        readiness_limits = ConnectionLimits(0, READINESS_CONNECTIONS_MAX, IDLE_S)
+        handler = ReadinessHandler(self.is_ready)
+        self._readiness = CallerServer(handler, readiness_limits, clock)
+
+    def is_ready(self) -> bool:
+        """Return whether a request could be served."""
+        if self._is_leaving or self._routes.configuration is None:
+            return False
+        return self._registry.is_known
+
+    async def async_run(self) -> None:
+        """Run until a signal asks for a graceful shutdown and it is done."""
+        async with create_task_group() as tasks:
+            self._start_tasks(tasks)
+            gc.collect()
+            gc.freeze()
+            gc.set_threshold(GC_THRESHOLD)
+            logger.info("started")
+            with open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                async for number in signals:
+                    logger.bind(signal=number.name).info("graceful shutdown starts")
+                    break
+                await self._async_shut_down()
+            tasks.cancel_scope.cancel()
+
+    def _start_tasks(self, tasks: TaskGroup) -> None:
+        """Start all tasks."""
+        settings = self._settings
+        for source in self._sources:
+            tasks.start_soon(source.async_follow)
+        tasks.start_soon(
+            self._readiness.async_serve, settings.address, settings.ready_port
+        )
+        tasks.start_soon(self._callers.async_serve, settings.address, settings.port)
+        tasks.start_soon(self._async_maintain)
+        tasks.start_soon(async_watch_clock, self._wake)
+
+    async def _async_maintain(self) -> None:
+        """Drop what has grown old."""
+        while True:
+            await sleep(MAINTENANCE_S)
+            self._registry.drop_lapsed()
+            self._pool.drop_old()
+
+    async def _async_shut_down(self) -> None:
+        """Serve on until the balancer has noticed, and finish what is in flight."""
+        self._is_leaving = True
+        self._callers.is_closing = True
+        with move_on_after(self._settings.grace_s - EXIT_MARGIN_S):
+            await sleep(BALANCER_NOTICE_S)
+            self._forwarder.is_refusing = True
+            while self._forwarder.in_flight:
+                await sleep(DRAIN_CHECK_S)
+        self._callers.close_idle()
+        # Answers that were just written leave with the next turns of the loop.
+        await sleep(DRAIN_CHECK_S)
+        logger.bind(left=self._forwarder.in_flight).info("graceful shutdown done")
+
+    def _apply_configuration(self, configuration: FleetConfiguration) -> None:
+        """Take a new configuration."""
+        limits = configuration.limits
+        self._limits.body_bytes_max = limits.body_bytes_max
+        self._limits.idle_s = limits.idle_timeout_s + IDLE_MARGIN_S
+        self._asker.health_paths = {
+            name: service.health_path.encode()
+            for name, service in configuration.services.items()
+        }
+        logger.bind(version=configuration.version).info("configuration in force")
+
+    def _drop_connections(self, server: ServerView) -> None:
+        """Close the idle connections to a server that is gone."""
+        self._pool.drop_server(server.vm_id)
+
+    def _wake(self) -> None:
+        """Trust nothing from before the process stood still."""
+        self._pool.drop_all()
+        for source in self._sources:
+            source.refresh()
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -0,0 +1,217 @@
+"""Answers the requests of callers by forwarding them to backend servers."""
+
+from __future__ import annotations
+
+from random import Random
+
+from loguru import logger
+
+from cardamomtack.helpers.clock import MS_PER_S, Clock
+from cardamomtack.placing.admission import choose_retry_after_s
+from cardamomtack.placing.budget import RetryBudget
+from cardamomtack.placing.chooser import estimate_share
+from cardamomtack.quarantine.ledger import CrashLedger
+from cardamomtack.routing.table import PrefixRoutes
+from cardamomtack.util.digests import digest_parts
+from cardamomtack_daemon.forwarding.asking import AskedServer
+from cardamomtack_daemon.forwarding.attempt import (
+    RequestSender,
+    SendOutcome,
+    SendResult,
+)
+from cardamomtack_daemon.forwarding.call import ForwardedCall
+from cardamomtack_daemon.forwarding.const import SUSPECT_RETRY_AFTER_S
+from cardamomtack_daemon.forwarding.names import HeaderNames
+from cardamomtack_daemon.forwarding.placer import Placer
+from cardamomtack_daemon.forwarding.settings import EntrySettings
+from cardamomtack_daemon.http1.messages import HttpAnswer, HttpRequest
+from cardamomtack_daemon.http1.problems import (
+    OUTCOME_NOT_RUN,
+    OUTCOME_UNKNOWN,
+    write_problem,
+)
+from cardamomtack_daemon.http1.server import AnswerSource
+
+Handled = tuple[HttpAnswer, AnswerSource | None]
+
+LEAVING_RETRY_AFTER_S = 0.05
+UNCONFIGURED_RETRY_AFTER_S = 0.3
+
+
+class Forwarder:
+    """Answers each request by at most one run, or more where that is allowed.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Settings of the VM.
+    names : HeaderNames
+        Names of header fields.
+    routes : PrefixRoutes
+        The configuration in force.
+    placer : Placer
+        Finds servers.
+    sender : RequestSender
+        Sends to servers.
+    ledger : CrashLedger
+        Requests that are refused because they crash servers.
+    clock : Clock
+        Tells the time.
+    random : Random
+        Spreads callers that come back.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests that are not answered yet.
+    is_refusing : bool
+        Whether new requests are sent to other VMs, because this one leaves.
+    """
+
+    __slots__ = (
+        "_budgets",
+        "_clock",
+        "_ledger",
+        "_names",
+        "_placer",
+        "_random",
+        "_routes",
+        "_sender",
+        "_settings",
+        "in_flight",
+        "is_refusing",
+    )
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        names: HeaderNames,
+        routes: PrefixRoutes,
+        placer: Placer,
+        sender: RequestSender,
+        ledger: CrashLedger,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._budgets: dict[str, RetryBudget] = {}
+        self._clock = clock
+        self._ledger = ledger
+        self._names = names
+        self._placer = placer
+        self._random = random
+        self._routes = routes
+        self._sender = sender
+        self._settings = settings
+        self.in_flight = 0
+        self.is_refusing = False
+
+    async def async_handle(self, request: HttpRequest) -> Handled:
+        """Return the answer, and the source of its rest when it isn't whole."""
+        self.in_flight += 1
+        try:
+            return await self._async_route(request)
+        except Exception as error:
+            logger.bind(error=repr(error)).exception("request handling failed")
+            return write_problem(500, "internal error", OUTCOME_UNKNOWN), None
+        finally:
+            self.in_flight -= 1
+
+    async def _async_route(self, request: HttpRequest) -> Handled:
+        """Find the route of a request and answer it."""
+        if self._routes.configuration is None:
+            return _refuse("no configuration yet", UNCONFIGURED_RETRY_AFTER_S)
+        host = request.find_header(b"host")
+        if host is None:
+            return write_problem(400, "request has no Host", OUTCOME_NOT_RUN), None
+        route = self._routes.find_route(host, request.target)
+        if route is None:
+            return write_problem(404, "no route matches", OUTCOME_NOT_RUN), None
+        if self.is_refusing:
+            return _refuse("this VM is leaving", LEAVING_RETRY_AFTER_S)
+        request_id = request.find_header(self._names.request_id)
+        if request_id is None:
+            return write_problem(400, "request has no id", OUTCOME_NOT_RUN), None
+        now_s = self._clock.read_monotonic_s()
+        wait_s = route.timeout_s
+        deadline_ms = request.find_header(self._names.deadline_ms)
+        if deadline_ms is not None and deadline_ms.isdigit():
+            wait_s = min(wait_s, int(deadline_ms) / MS_PER_S)
+        digest = digest_parts(host, request.method, request.target, request.body)
+        call = ForwardedCall(
+            request,
+            route,
+            self._routes.deal_service(route),
+            self._names,
+            request_id,
+            now_s,
+            now_s + wait_s,
+            digest,
+        )
+        if self._ledger.is_quarantined(digest):
+            detail = "this request crashed the backend servers that ran it"
+            return _refuse(detail, SUSPECT_RETRY_AFTER_S)
+        return await self._async_forward(call)
+
+    async def _async_forward(self, call: ForwardedCall) -> Handled:
+        """Send a call until it is answered or may not be sent again."""
+        budget = self._find_budget(call.service)
+        budget.record_request(call.arrived_s)
+        result: SendResult | None = None
+        while True:
+            asked = await self._placer.async_place(call)
+            if asked is None:
+                return self._finish(call, result)
+            if result is not None and not budget.spend_send(
+                self._clock.read_monotonic_s()
+            ):
+                self._sender.give_back(asked)
+                return self._finish(call, result)
+            result = await self._async_send(call, asked)
+            if not self._may_send_again(call, result):
+                return self._finish(call, result)
+
+    async def _async_send(self, call: ForwardedCall, asked: AskedServer) -> SendResult:
+        """Send a call once and learn from the time it took."""
+        started_s = self._clock.read_monotonic_s()
+        work_s = self._placer.estimates.find_work_s(call.route.name)
+        share = estimate_share(asked.server, work_s)
+        result = await self._sender.async_send(call, asked)
+        if result.outcome is SendOutcome.ANSWERED:
+            duration_s = self._clock.read_monotonic_s() - started_s
+            self._placer.estimates.record_answer(call.route.name, duration_s, share)
+        return result
+
+    def _may_send_again(self, call: ForwardedCall, result: SendResult) -> bool:
+        """Return whether a call may be sent to another server."""
+        if result.outcome in (SendOutcome.ANSWERED, SendOutcome.OVERDUE):
+            return False
+        if result.outcome is not SendOutcome.NOT_RUN and not call.route.is_idempotent:
+            return False
+        if result.rest is not None or call.sends >= call.route.attempts_max:
+            return False
+        return self._clock.read_monotonic_s() < call.deadline_s
+
+    def _finish(self, call: ForwardedCall, result: SendResult | None) -> Handled:
+        """Return the final answer of a call."""
+        now_s = self._clock.read_monotonic_s()
+        if result is None or result.outcome is SendOutcome.NOT_RUN:
+            retry_after_s = choose_retry_after_s(call.deadline_s - now_s, self._random)
+            return _refuse("no backend server can answer in time", retry_after_s)
+        if result.answer is not None:
+            return result.answer, result.rest
+        status = 504 if result.outcome is SendOutcome.OVERDUE else 502
+        return write_problem(status, result.outcome.value, OUTCOME_UNKNOWN), None
+
+    def _find_budget(self, service: str) -> RetryBudget:
+        """Return the budget of further sends to a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            settings = self._settings
+            budget = RetryBudget(settings.retry_share, settings.retry_window_s)
+            self._budgets[service] = budget
+        return budget
+
+
+def _refuse(detail: str, retry_after_s: float) -> Handled:
+    """Return the refusal of a request that has not run and will not run."""
+    return write_problem(503, detail, OUTCOME_NOT_RUN, retry_after_s), None
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/names.py
@@ -0,0 +1,42 @@
+"""The names under which callers and backend servers say what the product needs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cardamomtack.placing.server import LoadReport
+
+
+@dataclass(slots=True, frozen=True)
+class HeaderNames:
+    """Header fields, in lower case.
+
+    Attributes
+    ----------
+    request_id : bytes
+        Id of one send of a caller; the server echoes it.
+    deadline_ms : bytes
+        How long the caller waits, in milliseconds.
+    target_server : bytes
+        Id of the only server that may run the request.
+    signature : bytes
+        Proof that a server made the answer.
+    not_run : bytes
+        Says that the server did not run the request.
+    load : bytes
+        The load of the server.
+    server_id : bytes
+        Id of the server, on answers to health checks.
+    parse_load : callable
+        Returns the report of a load header, or None when it can't be read.
+    """
+
+    request_id: bytes
+    deadline_ms: bytes
+    target_server: bytes
+    signature: bytes
+    not_run: bytes
+    load: bytes
+    server_id: bytes
+    parse_load: Callable[[bytes], LoadReport | None]
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -0,0 +1,162 @@
+"""Finds a server for a request: samples, asks, and compares."""
+
+from __future__ import annotations
+
+from cardamomtack.discovery.registry import ServerRegistry
+from cardamomtack.helpers.clock import Clock
+from cardamomtack.placing.admission import PlacementTimes, is_worth_placing
+from cardamomtack.placing.chooser import PlacementChooser, WorkEstimates
+from cardamomtack.placing.server import ServerView, ServiceView
+from cardamomtack_daemon.forwarding.asking import AskedServer, ServerAsker
+from cardamomtack_daemon.forwarding.call import ForwardedCall
+from cardamomtack_daemon.forwarding.const import OWN_ZONE_OBJECTIVE_SHARE
+from cardamomtack_daemon.pool import (
+    CONNECTION_IDLE_S_MAX,
+    ConnectionPool,
+    ServerUnreachableError,
+)
+
+
+class Placer:
+    """Places requests on servers.
+
+    Parameters
+    ----------
+    registry : ServerRegistry
+        The servers.
+    chooser : PlacementChooser
+        Compares servers.
+    asker : ServerAsker
+        Asks servers for their load.
+    pool : ConnectionPool
+        Connections to servers that tell no load.
+    clock : Clock
+        Tells the time.
+
+    Attributes
+    ----------
+    estimates : WorkEstimates
+        How long the work of each route takes.
+    """
+
+    __slots__ = ("_asker", "_chooser", "_clock", "_pool", "_registry", "estimates")
+
+    def __init__(
+        self,
+        registry: ServerRegistry,
+        chooser: PlacementChooser,
+        asker: ServerAsker,
+        pool: ConnectionPool,
+        clock: Clock,
+    ) -> None:
+        self._asker = asker
+        self._chooser = chooser
+        self._clock = clock
+        self._pool = pool
+        self._registry = registry
+        self.estimates = WorkEstimates()
+
+    async def async_place(self, call: ForwardedCall) -> AskedServer | None:
+        """Return a server and a connection to it, or None when none takes the call.
+
+        Nothing of the request has left when this returns.
+        """
+        service = self._registry.find_service(call.service)
+        if service.tells_load is False:
+            return await self._async_place_unasked(service, call)
+        work_s = self.estimates.find_work_s(call.route.name)
+        asked = await self._async_ask(service, call, True)
+        best = self._choose(asked, work_s)
+        if best is None or not self._is_good(best, call, work_s):
+            asked += await self._async_ask(service, call, False)
+            best = self._choose(asked, work_s)
+        if best is None:
+            resting = self._chooser.sample_resting(service, call.tried)
+            asked = await self._asker.async_ask(service, resting)
+            best = self._choose(asked, work_s)
+        if best is not None and not self._is_worth_it(best, call, work_s):
+            best = None
+        self._asker.release(asked, best)
+        return best
+
+    async def _async_ask(
+        self, service: ServiceView, call: ForwardedCall, is_own_zone: bool
+    ) -> list[AskedServer]:
+        """Ask a few servers of the own zone, or of the others."""
+        now_s = self._clock.read_monotonic_s()
+        servers = self._chooser.sample_servers(service, call.tried, is_own_zone, now_s)
+        asked = await self._asker.async_ask(service, servers)
+        # A server may have left while it was asked.
+        now_s = self._clock.read_monotonic_s()
+        kept = [one for one in asked if one.server.is_usable(now_s)]
+        if len(kept) < len(asked):
+            kept_ids = {one.server.vm_id for one in kept}
+            left = [one for one in asked if one.server.vm_id not in kept_ids]
+            self._asker.release(left, None)
+        return kept
+
+    def _choose(self, asked: list[AskedServer], work_s: float) -> AskedServer | None:
+        """Return the asked server that is expected to answer first, or None."""
+        now_s = self._clock.read_monotonic_s()
+        return min(
+            asked,
+            key=lambda one: self._chooser.estimate_s(one.server, work_s, now_s),
+            default=None,
+        )
+
+    def _is_good(self, best: AskedServer, call: ForwardedCall, work_s: float) -> bool:
+        """Return whether no other zone needs to be asked."""
+        now_s = self._clock.read_monotonic_s()
+        estimate_s = self._chooser.estimate_s(best.server, work_s, now_s)
+        objective_left_s = call.arrived_s + call.route.objective_s - now_s
+        return estimate_s <= OWN_ZONE_OBJECTIVE_SHARE * objective_left_s
+
+    def _is_worth_it(
+        self, best: AskedServer, call: ForwardedCall, work_s: float
+    ) -> bool:
+        """Return whether the call is sent although the server may be full."""
+        now_s = self._clock.read_monotonic_s()
+        times = PlacementTimes(
+            self._chooser.estimate_s(best.server, work_s, now_s),
+            call.arrived_s + call.route.objective_s - now_s,
+            call.deadline_s - now_s,
+        )
+        return is_worth_placing(times, call.route.priority, _is_full(best.server))
+
+    async def _async_place_unasked(
+        self, service: ServiceView, call: ForwardedCall
+    ) -> AskedServer | None:
+        """Return a server of a service that tells no load."""
+        work_s = self.estimates.find_work_s(call.route.name)
+        tried = set(call.tried)
+        while self._clock.read_monotonic_s() < call.deadline_s:
+            now_s = self._clock.read_monotonic_s()
+            servers = self._chooser.sample_servers(service, tried, True, now_s)
+            servers += self._chooser.sample_servers(service, tried, False, now_s)
+            server = self._chooser.choose_server(servers, work_s, now_s)
+            if server is None:
+                resting = self._chooser.sample_resting(service, tried)
+                server = self._chooser.choose_server(resting, work_s, now_s)
+            if server is None:
+                return None
+            try:
+                connection = await self._pool.async_acquire(
+                    server, CONNECTION_IDLE_S_MAX
+                )
+            except ServerUnreachableError:
+                server.record_unreachable(self._clock.read_monotonic_s())
+                tried.add(server.vm_id)
+                continue
+            if not server.is_gone:
+                return AskedServer(server, connection)
+            self._pool.discard(connection)
+        return None
+
+
+def _is_full(server: ServerView) -> bool:
+    """Return whether a request would wait for a slot of a server."""
+    report = server.report
+    if report is None:
+        return False
+    ahead = report.running + report.waiting + server.sent_since_report
+    return ahead >= report.slots
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/settings.py
@@ -0,0 +1,36 @@
+"""Settings of an entry VM that forwards."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class EntrySettings:
+    """What an entry VM is told at its start.
+
+    Attributes
+    ----------
+    address : str
+        IP address on which callers and the balancer come in.
+    port, ready_port : int
+        Ports of callers and of the balancer's readiness checks.
+    retry_share : float
+        Further sends that the fleet may make for each request.
+    retry_window_s : float
+        Window of the retry budget, in seconds.
+    checks_per_server_s : float
+        Health checks that a server may get from the fleet, per second.
+    grace_s : float
+        Time between SIGTERM and SIGKILL, in seconds.
+    """
+
+    vm_id: str
+    availability_zone: str
+    address: str
+    port: int
+    ready_port: int
+    retry_share: float
+    retry_window_s: float
+    checks_per_server_s: float
+    grace_s: float
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -7,6 +7,9 @@
 from __future__ import annotations
 
 from asyncio import BaseTransport, Future, Protocol, Transport, get_running_loop
+from collections.abc import Callable
+from socket import IPPROTO_TCP, SO_KEEPALIVE, SOL_SOCKET, TCP_KEEPCNT, socket
+from socket import TCP_KEEPIDLE, TCP_KEEPINTVL, TCP_NODELAY, TCP_USER_TIMEOUT
 from typing import cast
 
 from httptools import HttpParserError, HttpResponseParser
@@ -14,7 +17,13 @@
 from cardamomtack_daemon.http1.messages import HeaderList, HttpAnswer
 
 INFORMATIONAL_STATUS_MAX = 199
+KEEPALIVE_PROBES_MAX = 2
+KEEPALIVE_S = 1
 STREAM_BUFFER_BYTES_MAX = 262_144
+UNACKNOWLEDGED_MS_MAX = 2500
+
+AnswerCheck = Callable[[int, HeaderList], bool]
+"""Tells by status and head whether an answer belongs to the request sent last."""
 
 
 class BrokenAnswerError(Exception):
@@ -34,10 +43,19 @@
 
 
 class _AnswerCollector:
-    """Collects what the parser reports of one answer."""
+    """Collects what the parser reports of one answer.
+
+    Parameters
+    ----------
+    check : callable or None
+        Tells which answers belong to the request; the others are passed over.
+    """
 
     __slots__ = (
+        "_check",
+        "_is_foreign",
         "chunks",
+        "foreign",
         "has_ended",
         "has_head",
         "headers",
@@ -47,7 +65,10 @@
         "surplus",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, check: AnswerCheck | None = None) -> None:
+        self._check = check
+        self._is_foreign = False
+        self.foreign = 0
         self.parser = HttpResponseParser(self)
         self.keep_alive = False
         self.headers: HeaderList = []
@@ -71,16 +92,28 @@
         self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Note that the head is complete."""
+        """Note that the head is complete, and whether the answer is another's."""
+        if self.has_ended:
+            return
+        status = self.parser.get_status_code()
+        if self._check is not None and not self._check(status, self.headers):
+            self._is_foreign = True
+            return
         self.has_head = True
 
     def on_body(self, chunk: bytes) -> None:
         """Collect a part of the body."""
-        if not self.has_ended:
+        if not self.has_ended and not self._is_foreign:
             self.chunks.append(chunk)
 
     def on_message_complete(self) -> None:
-        """Note that the answer is complete."""
+        """Note that the answer is complete, or pass over one of another request."""
+        if self._is_foreign:
+            self._is_foreign = False
+            self.foreign += 1
+            self.headers = []
+            self.is_framed = False
+            return
         if not self.has_ended:
             # The parser forgets this once the callback has returned.
             self.keep_alive = self.parser.should_keep_alive()
@@ -108,6 +141,7 @@
     """
 
     __slots__ = (
+        "_accepts_unframed",
         "_buffered_bytes",
         "_collector",
         "_fault",
@@ -124,6 +158,7 @@
     )
 
     def __init__(self, now_s: float) -> None:
+        self._accepts_unframed = False
         self._buffered_bytes = 0
         self._collector = _AnswerCollector()
         self._fault: str | None = None
@@ -162,7 +197,15 @@
         self._wake()
 
     def eof_received(self) -> bool:
-        """Close the connection when the server has closed it."""
+        """Close the connection when the server has closed it.
+
+        A clean end completes an answer that names no length; a reset does not.
+        """
+        collector = self._collector
+        if self._accepts_unframed and collector.has_head and not collector.is_framed:
+            collector.has_ended = True
+            collector.keep_alive = False
+            self._wake()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -175,9 +218,22 @@
         """Return whether the connection is open and nothing has arrived on it."""
         return self.is_reusable and not self._is_cut
 
-    def send(self, data: bytes, is_head: bool) -> None:
+    def send(
+        self,
+        data: bytes,
+        is_head: bool,
+        check: AnswerCheck | None = None,
+        accepts_unframed: bool = False,
+    ) -> None:
         """Send a request.
 
+        Parameters
+        ----------
+        check : callable or None
+            Tells which answers belong to the request; the others are passed over.
+        accepts_unframed : bool
+            Whether the clean end of the connection may end an answer.
+
         Raises
         ------
         BrokenAnswerError
@@ -185,7 +241,8 @@
         """
         if self._transport is None or self._is_cut:
             raise BrokenAnswerError("connection broke before sending", True)
-        self._collector = _AnswerCollector()
+        self._accepts_unframed = accepts_unframed
+        self._collector = _AnswerCollector(check)
         self._buffered_bytes = 0
         self._is_head = is_head
         self._is_busy = True
@@ -311,6 +368,7 @@
         self._is_busy = False
         self.is_reusable = (
             not collector.surplus
+            and not collector.foreign
             and not self._is_head
             and not self._is_cut
             and collector.keep_alive
@@ -326,21 +384,40 @@
                 self._fault = "informational answer"
         elif self._is_head:
             collector.has_ended = True
-        elif not collector.is_framed:
+        elif not collector.is_framed and not self._accepts_unframed:
             # The end of such an answer can't be told from a cut.
             self._fault = "answer without a length"
 
 
-async def async_connect(address: str, port: int, now_s: float) -> ServerConnection:
+def watch_silence(connected: socket) -> None:
+    """Have the kernel end a connection whose other end has gone silent."""
+    connected.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    connected.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_S)
+    connected.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_S)
+    connected.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES_MAX)
+    connected.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS_MAX)
+    connected.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+
+
+async def async_connect(
+    address: str, port: int, now_s: float, watches_silence: bool = False
+) -> ServerConnection:
     """Open a connection.
 
+    Parameters
+    ----------
+    watches_silence : bool
+        Whether the kernel checks that the other end is still there.
+
     Raises
     ------
     OSError
         When the server refuses or can't be reached.
     """
     loop = get_running_loop()
-    _, connection = await loop.create_connection(
+    transport, connection = await loop.create_connection(
         lambda: ServerConnection(now_s), address, port
     )
+    if watches_silence:
+        watch_silence(transport.get_extra_info("socket"))
     return connection
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/problems.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/problems.py
@@ -13,7 +13,7 @@
 
 
 def write_problem(
-    status: int, detail: str, outcome: str, retry_after_s: int | None = None
+    status: int, detail: str, outcome: str, retry_after_s: float | None = None
 ) -> HttpAnswer:
     """Return an answer of type application/problem+json.
 
@@ -25,8 +25,8 @@
         What happened, for a person.
     outcome : str
         Whether the request ran: "not-run" or "unknown".
-    retry_after_s : int or None
-        When to send again, in seconds.
+    retry_after_s : float or None
+        When to send again, in seconds; the fraction is meant for callers that know it.
     """
     body = json.encode(
         {
@@ -42,5 +42,5 @@
         (ATTR_OUTCOME, outcome.encode()),
     ]
     if retry_after_s is not None:
-        headers.append((b"retry-after", str(retry_after_s).encode()))
+        headers.append((b"retry-after", b"%g" % round(retry_after_s, 3)))
     return HttpAnswer(status, headers, body)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
@@ -11,7 +11,7 @@
 from collections import deque
 from typing import Protocol, cast
 
-from anyio import create_task_group, sleep
+from anyio import CancelScope, create_task_group, sleep
 from anyio.abc import TaskGroup
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
@@ -62,16 +62,31 @@
         Open connections.
     idle_s : float
         Time after which an idle connection is closed, in seconds.
+    cancels_abandoned : bool
+        Whether the work on a request ends when its caller has gone. Work that others
+        wait for, as that on a claim, goes on.
     """
 
-    __slots__ = ("body_bytes_max", "connections_max", "idle_s")
+    __slots__ = (
+        "body_bytes_max",
+        "cancels_abandoned",
+        "connections_max",
+        "idle_s",
+        "request_s",
+    )
 
     def __init__(
-        self, body_bytes_max: int, connections_max: int, idle_s: float
+        self,
+        body_bytes_max: int,
+        connections_max: int,
+        idle_s: float,
+        cancels_abandoned: bool = False,
     ) -> None:
         self.body_bytes_max = body_bytes_max
+        self.cancels_abandoned = cancels_abandoned
         self.connections_max = connections_max
         self.idle_s = idle_s
+        self.request_s = BODY_TIMEOUT_S
 
 
 class CallerGoneError(Exception):
@@ -92,6 +107,8 @@
 
     Attributes
     ----------
+    scope : CancelScope or None
+        Ends the work on the current request when the caller leaves.
     waits_since_s : float or None
         Since when bytes of the caller are waited for; None while they aren't.
     """
@@ -110,6 +127,7 @@
         "_target",
         "_transport",
         "_waiter",
+        "scope",
         "waits_since_s",
     )
 
@@ -127,6 +145,7 @@
         self._target = b""
         self._transport: Transport | None = None
         self._waiter: Future[None] | None = None
+        self.scope: CancelScope | None = None
         self.waits_since_s: float | None = now_s
 
     @property
@@ -160,6 +179,8 @@
         self._is_lost = True
         self._wake()
         self.resume_writing()
+        if self.scope is not None:
+            self.scope.cancel()
 
     def pause_writing(self) -> None:
         """Make a long answer wait until the caller takes more."""
@@ -340,13 +361,19 @@
             await sleep(IDLE_CHECK_S)
             now_s = self._clock.read_monotonic_s()
             for connection in list(self._connections):
-                timeout_s = BODY_TIMEOUT_S
+                timeout_s = self._limits.request_s
                 if connection.is_between_requests:
                     timeout_s = self._limits.idle_s
                 since_s = connection.waits_since_s
                 if since_s is not None and now_s - since_s > timeout_s:
                     connection.close()
 
+    def close_idle(self) -> None:
+        """Close the connections on which no request has begun to arrive."""
+        for connection in list(self._connections):
+            if connection.waits_since_s is not None and connection.is_between_requests:
+                connection.close()
+
     async def _async_serve_connection(self, connection: CallerConnection) -> None:
         """Answer the requests of a connection one after another."""
         keep_alive = True
@@ -356,18 +383,29 @@
                 if isinstance(request, HttpAnswer):
                     _send_whole(connection, request, keep_alive=False)
                     break
-                answer, source = await self._handler.async_handle(request)
-                keep_alive = request.keep_alive and not self.is_closing
-                if source is None:
-                    _send_whole(connection, answer, keep_alive)
-                elif not await _async_stream(connection, answer, source, keep_alive):
-                    break
+                with CancelScope() as scope:
+                    if self._limits.cancels_abandoned:
+                        connection.scope = scope
+                    keep_alive = await self._async_answer(connection, request)
+                connection.scope = None
+                keep_alive = keep_alive and not scope.cancelled_caught
         except CallerGoneError:
             pass
         finally:
             connection.close()
             self._connections.discard(connection)
 
+    async def _async_answer(
+        self, connection: CallerConnection, request: HttpRequest
+    ) -> bool:
+        """Answer one request and return whether another may follow it."""
+        answer, source = await self._handler.async_handle(request)
+        keep_alive = request.keep_alive and not self.is_closing
+        if source is not None:
+            return await _async_stream(connection, answer, source, keep_alive)
+        _send_whole(connection, answer, keep_alive)
+        return keep_alive
+
 
 def _send_whole(
     connection: CallerConnection, answer: HttpAnswer, keep_alive: bool
@@ -383,7 +421,7 @@
     source: AnswerSource,
     keep_alive: bool,
 ) -> bool:
-    """Pass a long answer on and return whether it became whole.
+    """Pass a long answer on and return whether a request may follow it.
 
     The connection of a cut answer closes short of its length or its last chunk, so
     that the caller can't take the part for the whole.
@@ -406,7 +444,7 @@
         return False
     finally:
         await source.async_release()
-    return True
+    return keep_alive
 
 
 def _frame_chunk(part: bytes) -> bytes:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/logs.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/logs.py
@@ -9,8 +9,6 @@
 from loguru import logger
 from msgspec import json
 
-from cardamomtack.generated.settings import DaemonSettings
-
 if TYPE_CHECKING:
     from loguru import Message
 
@@ -29,8 +27,8 @@
     sys.stderr.write(json.encode(line).decode() + "\n")
 
 
-def set_up_logs(settings: DaemonSettings) -> None:
-    """Log as JSON lines from the level of the settings on."""
+def set_up_logs(vm_id: str, level: str) -> None:
+    """Log as JSON lines from a level on."""
     logger.remove()
-    logger.add(_write_line, level=settings.log_level, format="{message}")
-    logger.configure(extra={"vm_id": settings.vm_id})
+    logger.add(_write_line, level=level, format="{message}")
+    logger.configure(extra={"vm_id": vm_id})
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/main.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/main.py
@@ -45,7 +45,7 @@
             Path of the settings file, in JSON with comments.
         """
         checked = read_settings(settings)
-        set_up_logs(checked)
+        set_up_logs(checked.vm_id, checked.log_level)
         anyio.run(async_run_daemon, checked, backend_options={"use_uvloop": True})
 
     def check_settings(self, settings: str) -> None:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/pool.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/pool.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import Protocol
 
 from anyio import move_on_after
 
-from cardamomtack.balancing.server import BackendServer
 from cardamomtack.helpers.clock import Clock
 from cardamomtack_daemon.http1.client import ServerConnection, async_connect
 
@@ -17,6 +17,28 @@
 RECENT_USE_S = 1.0
 
 
+class ServerAddress(Protocol):
+    """A backend server to which connections are kept.
+
+    Attributes
+    ----------
+    vm_id : str
+        Names the server; a new incarnation at the same address has another.
+    """
+
+    @property
+    def vm_id(self) -> str:
+        """Return the name of the server."""
+
+    @property
+    def address(self) -> str:
+        """Return the IP address."""
+
+    @property
+    def port(self) -> int:
+        """Return the port."""
+
+
 class ServerUnreachableError(Exception):
     """No connection to a backend server could be opened; nothing was sent."""
 
@@ -39,13 +61,13 @@
         self.discarded = 0
 
     async def async_acquire(
-        self, server: BackendServer, idle_s_max: float, fresh: bool = False
+        self, server: ServerAddress, idle_s_max: float, fresh: bool = False
     ) -> ServerConnection:
         """Return a connection that is used by nobody else.
 
         Parameters
         ----------
-        server : BackendServer
+        server : ServerAddress
             Where the connection goes.
         idle_s_max : float
             Longest time since its last use, in seconds.
@@ -83,7 +105,7 @@
         self.opened += 1
         return connection
 
-    def release(self, server: BackendServer, connection: ServerConnection) -> None:
+    def release(self, server: ServerAddress, connection: ServerConnection) -> None:
         """Keep a connection for the next request, or close it."""
         idle = self._idle.setdefault(server.vm_id, deque())
         if not connection.is_reusable or len(idle) >= IDLE_PER_SERVER_MAX:
@@ -102,6 +124,11 @@
         for connection in self._idle.pop(vm_id, ()):
             self.discard(connection)
 
+    def drop_all(self) -> None:
+        """Close all idle connections."""
+        for vm_id in list(self._idle):
+            self.drop_server(vm_id)
+
     def drop_old(self) -> None:
         """Close the connections that have been idle or open for too long."""
         for vm_id, idle in list(self._idle.items()):
