--- a/packages/cardamomtack/src/cardamomtack/placing/admission.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/admission.py
@@ -64,6 +64,8 @@
     Callers that were refused together are spread, and each comes back with most of
     its time left.
     """
-    longest_s = min(RETRY_AFTER_S_MAX, RETRY_AFTER_SHARE_MAX * max(0.0, deadline_left_s))
+    longest_s = min(
+        RETRY_AFTER_S_MAX, RETRY_AFTER_SHARE_MAX * max(0.0, deadline_left_s)
+    )
     shortest_s = min(RETRY_AFTER_S_MIN, longest_s)
     return random.uniform(shortest_s, longest_s)
--- a/packages/cardamomtack/src/cardamomtack/placing/chooser.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/chooser.py
@@ -36,7 +36,9 @@
         """Return the work of a route, in seconds."""
         return self._estimates.get(route, WORK_INITIAL_S)
 
-    def record_answer(self, route: str, duration_s: float, expected_share: float) -> None:
+    def record_answer(
+        self, route: str, duration_s: float, expected_share: float
+    ) -> None:
         """Take the duration of an answer.
 
         Parameters
@@ -95,9 +97,7 @@
             return usable
         return self._random.sample(usable, ASKED_MAX)
 
-    def sample_resting(
-        self, service: ServiceView, tried: set[str]
-    ) -> list[ServerView]:
+    def sample_resting(self, service: ServiceView, tried: set[str]) -> list[ServerView]:
         """Return a few servers that rest after failures, when no other is left."""
         resting = [
             server
--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/replicas/const.py
@@ -0,0 +1,13 @@
+"""Constants of the replicas area."""
+
+from typing import Final
+
+DEAD_S_MAX: Final = 60.0
+DEAD_S_MIN: Final = 4.0
+READERS_MIN: Final = 2
+STALE_S: Final = 1.5
+"""Age of the last confirmation after which a VM reads the store for itself."""
+
+TOPIC_CONFIGURATION: Final = "configuration"
+TOPIC_SERVERS: Final = "servers"
+VMS_PER_READER: Final = 12
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/__init__.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/__init__.py
@@ -1,1 +1,1 @@
-"""Forwarding: requests sent once to a backend server, and again only when it is safe."""
+"""Forwarding: a request goes to a server once, and again only if that is safe."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -100,9 +100,7 @@
 
     __slots__ = ("_clock", "_digests", "_ledger", "_pool")
 
-    def __init__(
-        self, pool: ConnectionPool, ledger: CrashLedger, clock: Clock
-    ) -> None:
+    def __init__(self, pool: ConnectionPool, ledger: CrashLedger, clock: Clock) -> None:
         self._clock = clock
         self._digests: dict[str, list[bytes]] = {}
         self._ledger = ledger
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -5,17 +5,25 @@
 import gc
 import signal
 from collections.abc import Callable
-from random import Random
+from dataclasses import dataclass
+from random import Random, SystemRandom
+from typing import Protocol
 
 from anyio import create_task_group, move_on_after, open_signal_receiver, sleep
 from anyio.abc import TaskGroup
 from loguru import logger
 
+from cardamomtack.discovery.coordinator import DiscoveryCoordinator, EntryCodec
 from cardamomtack.discovery.registry import ServerRegistry
+from cardamomtack.generated.relay import CrashNotice, Member
 from cardamomtack.helpers.clock import Clock
 from cardamomtack.placing.chooser import PlacementChooser
 from cardamomtack.placing.server import ServerView
 from cardamomtack.quarantine.ledger import CrashLedger
+from cardamomtack.replicas.const import STALE_S, TOPIC_CONFIGURATION, TOPIC_SERVERS
+from cardamomtack.replicas.members import MemberTable
+from cardamomtack.replicas.topic import TopicReplica
+from cardamomtack.routing.coordinator import ConfigurationCodec, RoutingCoordinator
 from cardamomtack.routing.policy import FleetConfiguration
 from cardamomtack.routing.table import PrefixRoutes
 from cardamomtack_daemon.forwarding.asking import ServerAsker
@@ -33,7 +41,6 @@
 from cardamomtack_daemon.forwarding.names import HeaderNames
 from cardamomtack_daemon.forwarding.placer import Placer
 from cardamomtack_daemon.forwarding.settings import EntrySettings
-from cardamomtack_daemon.forwarding.sources import FleetSource
 from cardamomtack_daemon.http1.messages import HttpAnswer, HttpRequest
 from cardamomtack_daemon.http1.server import (
     AnswerSource,
@@ -41,13 +48,30 @@
     ConnectionLimits,
 )
 from cardamomtack_daemon.pool import ConnectionPool
+from cardamomtack_daemon.replicas.membership import MembershipTask
+from cardamomtack_daemon.replicas.reader import TopicReader
+from cardamomtack_daemon.replicas.relay import RelayExchange
+from cardamomtack_daemon.replicas.source import MemberDirectory, TopicSource
 
 BODY_BYTES_MAX = 67_108_864
 GC_THRESHOLD = 20_000
 IDLE_S = 15.0
 READINESS_CONNECTIONS_MAX = 50
 
-SourceMaker = Callable[[PrefixRoutes, ServerRegistry], list[FleetSource]]
+INCARNATION_BITS = 64
+
+
+class RecordCodec(ConfigurationCodec, EntryCodec, Protocol):
+    """Decodes the records of all topics."""
+
+
+@dataclass(slots=True, frozen=True)
+class StoreSources:
+    """What is read from the store."""
+
+    configuration: TopicSource
+    servers: TopicSource
+    members: MemberDirectory
 
 
 class ReadinessHandler:
@@ -80,8 +104,10 @@
         Settings of the VM.
     names : HeaderNames
         Names of header fields.
-    make_sources : callable
-        Returns the sources of configuration and servers.
+    codec : RecordCodec
+        Decodes records.
+    sources : StoreSources
+        What is read from the store.
     clock : Clock
         Tells the time.
     random : Random
@@ -91,34 +117,81 @@
     __slots__ = (
         "_asker",
         "_callers",
+        "_clock",
         "_forwarder",
         "_is_leaving",
+        "_ledger",
         "_limits",
+        "_members",
+        "_membership",
         "_pool",
+        "_readers",
         "_readiness",
         "_registry",
+        "_relay",
+        "_replicas",
         "_routes",
         "_settings",
-        "_sources",
     )
 
     def __init__(
         self,
         settings: EntrySettings,
         names: HeaderNames,
-        make_sources: SourceMaker,
+        codec: RecordCodec,
+        sources: StoreSources,
         clock: Clock,
         random: Random,
     ) -> None:
+        self._clock = clock
         self._is_leaving = False
         self._settings = settings
+        self._ledger = CrashLedger(clock)
         self._pool = ConnectionPool(clock)
         self._registry = ServerRegistry(clock)
         self._registry.add_listener(self._drop_connections)
         self._routes = PrefixRoutes(random)
         self._routes.add_listener(self._apply_configuration)
-        self._sources = make_sources(self._routes, self._registry)
-        ledger = CrashLedger(clock)
+        self._build_replicas(codec, sources, random)
+        self._build_traffic(names, random)
+
+    def _build_replicas(
+        self, codec: RecordCodec, sources: StoreSources, random: Random
+    ) -> None:
+        """Build what follows the store and the other VMs."""
+        settings = self._settings
+        clock = self._clock
+        own = Member(
+            settings.vm_id,
+            f"{SystemRandom().getrandbits(INCARNATION_BITS):016x}",
+            settings.availability_zone,
+            settings.address,
+            settings.relay_port,
+        )
+        configuration = TopicReplica(TOPIC_CONFIGURATION)
+        configuration.add_listener(
+            RoutingCoordinator(codec, self._routes).apply_records
+        )
+        servers = TopicReplica(TOPIC_SERVERS)
+        servers.add_listener(DiscoveryCoordinator(codec, self._registry).apply_records)
+        self._members = MemberTable(own)
+        self._membership = MembershipTask(self._members, sources.members, random)
+        self._replicas = [configuration, servers]
+        self._relay = RelayExchange(
+            self._members, self._replicas, self._apply_crash, clock
+        )
+        self._readers = [
+            TopicReader(replica, source, self._is_reader, clock, random)
+            for replica, source in (
+                (configuration, sources.configuration),
+                (servers, sources.servers),
+            )
+        ]
+
+    def _build_traffic(self, names: HeaderNames, random: Random) -> None:
+        """Build the path of a request."""
+        settings = self._settings
+        clock = self._clock
         chooser = PlacementChooser(random, settings.availability_zone)
         self._asker = ServerAsker(self._pool, names, clock)
         self._forwarder = Forwarder(
@@ -126,8 +199,8 @@
             names,
             self._routes,
             Placer(self._registry, chooser, self._asker, self._pool, clock),
-            RequestSender(self._pool, ledger, clock),
-            ledger,
+            RequestSender(self._pool, self._ledger, clock),
+            self._ledger,
             clock,
             random,
         )
@@ -163,8 +236,11 @@
     def _start_tasks(self, tasks: TaskGroup) -> None:
         """Start all tasks."""
         settings = self._settings
-        for source in self._sources:
-            tasks.start_soon(source.async_follow)
+        for reader in self._readers:
+            tasks.start_soon(reader.async_follow)
+        tasks.start_soon(self._membership.async_join)
+        tasks.start_soon(self._relay.async_serve, settings.address, settings.relay_port)
+        tasks.start_soon(self._relay.async_hear)
         tasks.start_soon(
             self._readiness.async_serve, settings.address, settings.ready_port
         )
@@ -176,6 +252,9 @@
         """Drop what has grown old."""
         while True:
             await sleep(MAINTENANCE_S)
+            now_s = self._clock.read_monotonic_s()
+            if any(one.find_age_s(now_s) > STALE_S for one in self._replicas):
+                self._registry.note_source_trouble()
             self._registry.drop_lapsed()
             self._pool.drop_old()
 
@@ -183,6 +262,8 @@
         """Serve on until the balancer has noticed, and finish what is in flight."""
         self._is_leaving = True
         self._callers.is_closing = True
+        self._relay.report_leaving()
+        await self._membership.async_leave()
         with move_on_after(self._settings.grace_s - EXIT_MARGIN_S):
             await sleep(BALANCER_NOTICE_S)
             self._forwarder.is_refusing = True
@@ -202,7 +283,6 @@
             name: service.health_path.encode()
             for name, service in configuration.services.items()
         }
-        logger.bind(version=configuration.version).info("configuration in force")
 
     def _drop_connections(self, server: ServerView) -> None:
         """Close the idle connections to a server that is gone."""
@@ -211,5 +291,15 @@
     def _wake(self) -> None:
         """Trust nothing from before the process stood still."""
         self._pool.drop_all()
-        for source in self._sources:
-            source.refresh()
+        for reader in self._readers:
+            reader.refresh()
+
+    def _is_reader(self) -> bool:
+        """Return whether other VMs rely on what this one reads."""
+        if self._relay.has_subscribers:
+            return True
+        return self._members.is_reader(self._clock.read_monotonic_s())
+
+    def _apply_crash(self, notice: CrashNotice) -> None:
+        """Take the notice of a crash of a server."""
+        self._ledger.record_crash(notice.server_id, notice.request_digests)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/settings.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/settings.py
@@ -13,10 +13,12 @@
     ----------
     address : str
         IP address on which callers and the balancer come in.
-    port, ready_port : int
-        Ports of callers and of the balancer's readiness checks.
+    port, ready_port, relay_port : int
+        Ports of callers, of the balancer's readiness checks and of the other VMs.
     retry_share : float
         Further sends that the fleet may make for each request.
+    retry_slack : float
+        Further sends that the fleet may make beyond that in a window.
     retry_window_s : float
         Window of the retry budget, in seconds.
     checks_per_server_s : float
@@ -30,7 +32,9 @@
     address: str
     port: int
     ready_port: int
+    relay_port: int
     retry_share: float
+    retry_slack: float
     retry_window_s: float
     checks_per_server_s: float
     grace_s: float
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -8,8 +8,17 @@
 
 from asyncio import BaseTransport, Future, Protocol, Transport, get_running_loop
 from collections.abc import Callable
-from socket import IPPROTO_TCP, SO_KEEPALIVE, SOL_SOCKET, TCP_KEEPCNT, socket
-from socket import TCP_KEEPIDLE, TCP_KEEPINTVL, TCP_NODELAY, TCP_USER_TIMEOUT
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_NODELAY,
+    TCP_USER_TIMEOUT,
+    socket,
+)
 from typing import cast
 
 from httptools import HttpParserError, HttpResponseParser
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/exchange.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/exchange.py
@@ -172,7 +172,7 @@
 
     async def _async_run_stream(self, stream: SocketStream) -> None:
         """Greet a peer, then exchange messages until the stream is lost."""
-        messages = MessageStream(stream)
+        messages = MessageStream(stream, PeerMessage)
         async with stream:
             try:
                 hello = PeerMessage(hello=Hello(self.vm_id, self._incarnation))
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/stream.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/stream.py
@@ -2,36 +2,42 @@
 
 from __future__ import annotations
 
+from typing import Generic, TypeVar
+
 from anyio import fail_after
 from anyio.abc import SocketStream
-from msgspec import DecodeError, ValidationError, msgpack
+from msgspec import DecodeError, Struct, ValidationError, msgpack
 
-from cardamomtack.generated.peer import PeerMessage
 from cardamomtack_daemon.peers.const import FRAME_BYTES_MAX, FRAME_LENGTH_BYTES
 
+MessageT = TypeVar("MessageT", bound=Struct)
+
 
 class PeerProtocolError(Exception):
     """A peer sent something that is not a message."""
 
 
-def encode_frame(message: PeerMessage) -> bytes:
+def encode_frame(message: Struct) -> bytes:
     """Return a message with its length in front."""
     data = msgpack.encode(message)
     return len(data).to_bytes(FRAME_LENGTH_BYTES, "big") + data
 
 
-class MessageStream:
+class MessageStream(Generic[MessageT]):
     """Sends and receives messages.
 
     Parameters
     ----------
     stream : SocketStream
         The connection, owned by this object.
+    message_type : type
+        What is received.
     """
 
-    __slots__ = ("_received", "_stream")
+    __slots__ = ("_decoder", "_received", "_stream")
 
-    def __init__(self, stream: SocketStream) -> None:
+    def __init__(self, stream: SocketStream, message_type: type[MessageT]) -> None:
+        self._decoder = msgpack.Decoder(message_type)
         self._stream = stream
         self._received = bytearray()
 
@@ -39,13 +45,13 @@
         """Send a frame."""
         await self._stream.send(frame)
 
-    async def async_receive(self, timeout_s: float) -> PeerMessage:
+    async def async_receive(self, timeout_s: float | None) -> MessageT:
         """Receive a message.
 
         Raises
         ------
         TimeoutError
-            When nothing arrives in time, in seconds.
+            When nothing arrives in time, in seconds; None waits for ever.
         PeerProtocolError
             When the frame is too long or not a message.
         """
@@ -56,7 +62,7 @@
                     self._received += await self._stream.receive()
                     frame = self._take_frame()
         try:
-            return msgpack.decode(frame, type=PeerMessage)
+            return self._decoder.decode(frame)
         except (DecodeError, ValidationError) as error:
             raise PeerProtocolError(str(error)) from error
 
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/const.py
@@ -0,0 +1,18 @@
+"""Constants of the tasks of the replicas."""
+
+from typing import Final
+
+BACKOFF_S_MAX: Final = 2.5
+BACKOFF_S_MIN: Final = 0.15
+BATCH_S: Final = 0.1
+DIAL_PAUSE_S: Final = 0.2
+DIAL_TIMEOUT_S: Final = 0.6
+FRESHNESS_S: Final = 0.35
+NEED_CHECK_S: Final = 0.2
+OUTBOX_MAX: Final = 256
+POLL_WAIT_S: Final = 0.7
+READER_BACKOFF_S_MAX: Final = 0.6
+READ_TIMEOUT_S: Final = 0.8
+READ_TIMEOUT_S_MAX: Final = 4.0
+SILENCE_S_MAX: Final = 1.1
+SUBSCRIBE_TIMEOUT_S: Final = 2.0
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/reader.py
@@ -0,0 +1,167 @@
+"""Reads one topic of the store while this VM or others need it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from anyio import Event, move_on_after, sleep
+from loguru import logger
+
+from cardamomtack.helpers.clock import Clock
+from cardamomtack.replicas.const import STALE_S
+from cardamomtack.replicas.topic import END_UNKNOWN, TopicReplica
+from cardamomtack_daemon.replicas.const import (
+    BACKOFF_S_MAX,
+    BACKOFF_S_MIN,
+    BATCH_S,
+    NEED_CHECK_S,
+    POLL_WAIT_S,
+    READ_TIMEOUT_S,
+    READ_TIMEOUT_S_MAX,
+    READER_BACKOFF_S_MAX,
+)
+from cardamomtack_daemon.replicas.source import (
+    HistoryGoneError,
+    SourceError,
+    TopicSource,
+)
+
+
+class TopicReader:
+    """Reads a topic while this VM is a reader or has nobody fresh to hear from.
+
+    Parameters
+    ----------
+    replica : TopicReplica
+        Takes the records.
+    source : TopicSource
+        The topic at the store.
+    is_reader : callable
+        Returns whether others rely on this VM.
+    clock : Clock
+        Tells the time.
+    random : Random
+        Spreads the attempts of the VMs after an outage.
+
+    Attributes
+    ----------
+    calls : int
+        Calls to the store.
+    """
+
+    __slots__ = (
+        "_backoff_s",
+        "_clock",
+        "_is_reader",
+        "_must_read_newest",
+        "_random",
+        "_replica",
+        "_source",
+        "_timeout_s",
+        "_wake",
+        "_was_answered",
+        "calls",
+    )
+
+    def __init__(
+        self,
+        replica: TopicReplica,
+        source: TopicSource,
+        is_reader: Callable[[], bool],
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._backoff_s = BACKOFF_S_MIN
+        self._clock = clock
+        self._is_reader = is_reader
+        self._must_read_newest = False
+        self._random = random
+        self._replica = replica
+        self._source = source
+        self._timeout_s = READ_TIMEOUT_S
+        self._was_answered = False
+        self._wake = Event()
+        self.calls = 0
+
+    async def async_follow(self) -> None:
+        """Read until cancelled; trouble of the store never ends it."""
+        while True:
+            if not self._is_needed():
+                self._was_answered = False
+                await sleep(NEED_CHECK_S)
+                continue
+            try:
+                has_records = await self._async_read()
+            except HistoryGoneError:
+                self._must_read_newest = True
+            except SourceError as error:
+                await self._async_back_off(error)
+            else:
+                self._note_answered()
+                if has_records:
+                    # Changes that come together are read together.
+                    await sleep(BATCH_S)
+
+    def refresh(self) -> None:
+        """Read anew at once, on a new connection, after the process stood still."""
+        self._replica.distrust()
+        self._source.close()
+        self._backoff_s = BACKOFF_S_MIN
+        self._wake.set()
+
+    def _is_needed(self) -> bool:
+        """Return whether the topic is read here."""
+        if self._is_reader():
+            return True
+        return self._replica.find_age_s(self._clock.read_monotonic_s()) > STALE_S
+
+    async def _async_read(self) -> bool:
+        """Read once and return whether there were records.
+
+        Raises
+        ------
+        SourceError
+            When the store can't be read.
+        """
+        self.calls += 1
+        sent_at_s = self._clock.read_monotonic_s()
+        if self._replica.end == END_UNKNOWN or self._must_read_newest:
+            page = await self._source.async_read_newest(self._timeout_s)
+            if page.end < self._replica.end:
+                raise SourceError("the newest records are older than known ones")
+            self._must_read_newest = False
+            wait_s = 0.0
+        else:
+            # After trouble an answer at once tells that the store is back; a read
+            # that waits could be lost unnoticed.
+            wait_s = POLL_WAIT_S if self._was_answered else 0.0
+            page = await self._source.async_read_on(
+                self._replica.end, wait_s, self._timeout_s
+            )
+        self._replica.apply_records(page)
+        now_s = self._clock.read_monotonic_s()
+        self._replica.confirm(min(now_s, sent_at_s + wait_s))
+        return bool(page.records)
+
+    def _note_answered(self) -> None:
+        """Note that the store answers."""
+        if self._backoff_s > BACKOFF_S_MIN:
+            logger.bind(topic=self._replica.topic).info("the store can be read again")
+        self._backoff_s = BACKOFF_S_MIN
+        self._timeout_s = READ_TIMEOUT_S
+        self._was_answered = True
+
+    async def _async_back_off(self, error: SourceError) -> None:
+        """Wait before the next attempt, longer each time in a row."""
+        if self._backoff_s == BACKOFF_S_MIN:
+            logger.bind(topic=self._replica.topic, error=str(error)).warning(
+                "the store can't be read"
+            )
+        self._was_answered = False
+        self._timeout_s = min(READ_TIMEOUT_S_MAX, 1.5 * self._timeout_s)
+        longest_s = READER_BACKOFF_S_MAX if self._is_reader() else BACKOFF_S_MAX
+        self._backoff_s = min(longest_s, 2.0 * self._backoff_s)
+        self._wake = Event()
+        with move_on_after(self._backoff_s * self._random.uniform(0.5, 1.0)):
+            await self._wake.wait()
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -0,0 +1,357 @@
+"""Streams between the VMs: topics and news flow from readers to the others."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+from anyio import (
+    BrokenResourceError,
+    ClosedResourceError,
+    EndOfStream,
+    WouldBlock,
+    connect_tcp,
+    create_memory_object_stream,
+    create_task_group,
+    create_tcp_listener,
+    move_on_after,
+    sleep,
+)
+from anyio.abc import SocketStream
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+from loguru import logger
+
+from cardamomtack.generated.relay import (
+    CrashNotice,
+    Freshness,
+    Member,
+    Members,
+    RelayMessage,
+    Subscribe,
+    TopicFreshness,
+    TopicPosition,
+    TopicRecords,
+)
+from cardamomtack.helpers.clock import MS_PER_S, Clock
+from cardamomtack.replicas.const import STALE_S
+from cardamomtack.replicas.members import MemberTable
+from cardamomtack.replicas.topic import END_UNKNOWN, TopicGapError, TopicReplica
+from cardamomtack_daemon.peers.stream import (
+    MessageStream,
+    PeerProtocolError,
+    encode_frame,
+)
+from cardamomtack_daemon.replicas.const import (
+    DIAL_PAUSE_S,
+    DIAL_TIMEOUT_S,
+    FRESHNESS_S,
+    OUTBOX_MAX,
+    SILENCE_S_MAX,
+    SUBSCRIBE_TIMEOUT_S,
+)
+
+NOTICES_KEPT = 2000
+
+STREAM_ERRORS = (
+    BrokenResourceError,
+    ClosedResourceError,
+    EndOfStream,
+    OSError,
+    PeerProtocolError,
+    TimeoutError,
+    TopicGapError,
+)
+
+Outbox = MemoryObjectSendStream[bytes]
+
+
+class RelayExchange:
+    """Serves subscribers and hears from one upstream VM.
+
+    Parameters
+    ----------
+    members : MemberTable
+        The VMs.
+    replicas : list of TopicReplica
+        The topics that are passed on.
+    apply_crash : callable
+        Takes the notice of a crash.
+    clock : Clock
+        Tells the time.
+
+    Attributes
+    ----------
+    upstream_id : str
+        The VM that this one hears from, empty for none.
+    """
+
+    __slots__ = (
+        "_apply_crash",
+        "_clock",
+        "_members",
+        "_notices",
+        "_replicas",
+        "_subscribers",
+        "_upstream",
+        "upstream_id",
+    )
+
+    def __init__(
+        self,
+        members: MemberTable,
+        replicas: list[TopicReplica],
+        apply_crash: Callable[[CrashNotice], None],
+        clock: Clock,
+    ) -> None:
+        self._apply_crash = apply_crash
+        self._clock = clock
+        self._members = members
+        self._notices: OrderedDict[str, None] = OrderedDict()
+        self._replicas = {replica.topic: replica for replica in replicas}
+        self._subscribers: set[Outbox] = set()
+        self._upstream: Outbox | None = None
+        self.upstream_id = ""
+        for replica in replicas:
+            replica.add_relay(self._relay_records)
+
+    @property
+    def has_subscribers(self) -> bool:
+        """Return whether other VMs hear from this one."""
+        return bool(self._subscribers)
+
+    def report_crash(self, notice: CrashNotice) -> None:
+        """Tell all VMs of a crash that this VM has seen."""
+        self._spread_crash(notice, None)
+
+    def report_leaving(self) -> None:
+        """Tell all VMs that this one leaves."""
+        own = self._members.own
+        leaving = Member(
+            own.vm_id,
+            own.incarnation,
+            own.availability_zone,
+            own.address,
+            own.port,
+            is_leaving=True,
+        )
+        self._spread(RelayMessage(members=Members([leaving])), None)
+
+    async def async_serve(self, address: str, port: int) -> None:
+        """Serve subscribers until cancelled."""
+        listener = await create_tcp_listener(local_host=address, local_port=port)
+        async with listener, create_task_group() as tasks:
+            tasks.start_soon(self._async_tell_freshness)
+            await listener.serve(self._async_serve_subscriber)
+
+    async def async_hear(self) -> None:
+        """Hear from an upstream VM until cancelled, from another when it is silent."""
+        while True:
+            now_s = self._clock.read_monotonic_s()
+            upstream = self._members.choose_upstream(now_s)
+            if upstream is None or not await self._async_hear_from(upstream):
+                await sleep(DIAL_PAUSE_S)
+
+    async def _async_hear_from(self, upstream: Member) -> bool:
+        """Subscribe to a VM and take what it says until it is silent.
+
+        Returns
+        -------
+        bool
+            Whether it was left because another VM is the right one now.
+        """
+        stream: SocketStream | None = None
+        try:
+            with move_on_after(DIAL_TIMEOUT_S):
+                stream = await connect_tcp(upstream.address, upstream.port)
+        except OSError as error:
+            logger.bind(upstream=upstream.vm_id, error=repr(error)).info(
+                "upstream VM can't be reached"
+            )
+        if stream is None:
+            self._note_dead(upstream)
+            return False
+        outbox, queue = create_memory_object_stream[bytes](OUTBOX_MAX)
+        messages = MessageStream(stream, RelayMessage)
+        try:
+            async with stream, create_task_group() as tasks:
+                tasks.start_soon(_async_write, queue, messages)
+                self._upstream = outbox
+                outbox.send_nowait(encode_frame(self._write_subscription()))
+                await self._async_take_messages(messages, outbox, upstream)
+                tasks.cancel_scope.cancel()
+        except* STREAM_ERRORS as group:
+            error = group.exceptions[0]
+            logger.bind(upstream=upstream.vm_id, error=repr(error)).info(
+                "stream from upstream VM ended"
+            )
+            self._note_dead(upstream)
+        finally:
+            self._upstream = None
+            self.upstream_id = ""
+        return self._members.is_alive(upstream.vm_id, self._clock.read_monotonic_s())
+
+    def _note_dead(self, upstream: Member) -> None:
+        """Pass over an upstream VM for a while."""
+        self._members.note_dead(upstream.vm_id, self._clock.read_monotonic_s())
+
+    async def _async_take_messages(
+        self, messages: MessageStream[RelayMessage], outbox: Outbox, upstream: Member
+    ) -> None:
+        """Take the messages of an upstream VM while it is the right one.
+
+        Raises
+        ------
+        TimeoutError
+            When it is silent.
+        """
+        while True:
+            message = await messages.async_receive(SILENCE_S_MAX)
+            self.upstream_id = upstream.vm_id
+            self._members.note_alive(upstream.vm_id)
+            self._take_message(message, outbox)
+            now_s = self._clock.read_monotonic_s()
+            best = self._members.choose_upstream(now_s)
+            if best is None or best.vm_id != upstream.vm_id:
+                return
+
+    async def _async_serve_subscriber(self, stream: SocketStream) -> None:
+        """Serve one subscriber until its stream ends."""
+        outbox, queue = create_memory_object_stream[bytes](OUTBOX_MAX)
+        messages = MessageStream(stream, RelayMessage)
+        try:
+            async with stream, create_task_group() as tasks:
+                first = await messages.async_receive(SUBSCRIBE_TIMEOUT_S)
+                if first.subscribe is None:
+                    return
+                tasks.start_soon(_async_write, queue, messages)
+                self._welcome(first.subscribe, outbox)
+                while True:
+                    self._take_message(await messages.async_receive(None), outbox)
+        except* STREAM_ERRORS:
+            pass
+        finally:
+            self._subscribers.discard(outbox)
+
+    def _welcome(self, subscribe: Subscribe, outbox: Outbox) -> None:
+        """Tell a new subscriber what it does not know yet."""
+        known = {one.topic: one.end for one in subscribe.positions}
+        members = Members(self._members.list_members())
+        outbox.send_nowait(encode_frame(RelayMessage(members=members)))
+        for topic, replica in self._replicas.items():
+            if replica.end > known.get(topic, END_UNKNOWN):
+                message = RelayMessage(records=replica.write_newest())
+                outbox.send_nowait(encode_frame(message))
+        self._subscribers.add(outbox)
+        outbox.send_nowait(encode_frame(self._write_freshness()))
+        self._take_members([subscribe.member], outbox)
+
+    def _take_message(self, message: RelayMessage, source: Outbox) -> None:
+        """Take a message of another VM.
+
+        Raises
+        ------
+        TopicGapError
+            When records are missing; a new subscription brings them.
+        """
+        if message.records is not None:
+            replica = self._replicas.get(message.records.topic)
+            if replica is not None:
+                replica.apply_records(message.records)
+        if message.freshness is not None:
+            self._take_freshness(message.freshness)
+        if message.members is not None:
+            self._take_members(message.members.members, source)
+        if message.crash is not None:
+            self._spread_crash(message.crash, source)
+
+    def _take_freshness(self, freshness: Freshness) -> None:
+        """Take what an upstream VM says of the age of its topics."""
+        now_s = self._clock.read_monotonic_s()
+        for topic in freshness.topics:
+            replica = self._replicas.get(topic.topic)
+            if replica is not None and replica.end >= topic.end:
+                replica.confirm(now_s - topic.age_ms / MS_PER_S)
+
+    def _take_members(self, members: list[Member], source: Outbox) -> None:
+        """Take news of VMs and pass on what is new."""
+        new = [member for member in members if self._members.add_member(member)]
+        if new:
+            self._spread(RelayMessage(members=Members(new)), source)
+
+    def _spread_crash(self, notice: CrashNotice, source: Outbox | None) -> None:
+        """Take the notice of a crash and pass it on, once."""
+        if notice.notice_id in self._notices:
+            return
+        self._notices[notice.notice_id] = None
+        if len(self._notices) > NOTICES_KEPT:
+            self._notices.popitem(last=False)
+        self._apply_crash(notice)
+        self._spread(RelayMessage(crash=notice), source)
+
+    def _spread(self, message: RelayMessage, source: Outbox | None) -> None:
+        """Send a message on all streams but the one on which it came."""
+        frame = encode_frame(message)
+        outboxes = list(self._subscribers)
+        if self._upstream is not None:
+            outboxes.append(self._upstream)
+        for outbox in outboxes:
+            if outbox is not source:
+                self._send(outbox, frame)
+
+    def _relay_records(self, records: TopicRecords) -> None:
+        """Pass records on to the subscribers."""
+        if not self._subscribers:
+            return
+        frame = encode_frame(RelayMessage(records=records))
+        for outbox in list(self._subscribers):
+            self._send(outbox, frame)
+
+    async def _async_tell_freshness(self) -> None:
+        """Tell the subscribers at a fixed interval how fresh the topics are."""
+        while True:
+            await sleep(FRESHNESS_S)
+            if self._subscribers:
+                frame = encode_frame(self._write_freshness())
+                for outbox in list(self._subscribers):
+                    self._send(outbox, frame)
+
+    def _send(self, outbox: Outbox, frame: bytes) -> None:
+        """Queue a frame; a subscriber that takes nothing is dropped."""
+        try:
+            outbox.send_nowait(frame)
+        except (WouldBlock, BrokenResourceError, ClosedResourceError):
+            self._subscribers.discard(outbox)
+            outbox.close()
+
+    def _write_subscription(self) -> RelayMessage:
+        """Return the first message to an upstream VM."""
+        positions = [
+            TopicPosition(topic, replica.end)
+            for topic, replica in self._replicas.items()
+        ]
+        return RelayMessage(subscribe=Subscribe(self._members.own, positions))
+
+    def _write_freshness(self) -> RelayMessage:
+        """Return the heartbeat; topics that are stale here are left out."""
+        now_s = self._clock.read_monotonic_s()
+        topics = [
+            TopicFreshness(topic, replica.end, int(age_s * MS_PER_S))
+            for topic, replica in self._replicas.items()
+            if (age_s := replica.find_age_s(now_s)) <= STALE_S
+        ]
+        return RelayMessage(freshness=Freshness(topics))
+
+
+async def _async_write(
+    queue: MemoryObjectReceiveStream[bytes], messages: MessageStream[RelayMessage]
+) -> None:
+    """Write the frames of an outbox to its stream.
+
+    Raises
+    ------
+    EndOfStream
+        When the outbox was closed, because it took nothing for too long.
+    """
+    async for frame in queue:
+        await messages.async_send_frame(frame)
+    raise EndOfStream
--- a/tests/cardamomtack_daemon/peers/test_stream.py
+++ b/tests/cardamomtack_daemon/peers/test_stream.py
@@ -34,7 +34,7 @@
     async with listener, anyio.create_task_group() as tasks:
         tasks.start_soon(listener.serve, send)
         async with await anyio.connect_tcp("127.0.0.1", port) as stream:
-            messages = MessageStream(stream)
+            messages = MessageStream(stream, PeerMessage)
             received = [await messages.async_receive(5.0) for _ in range(count)]
         tasks.cancel_scope.cancel()
     return received
