--- a/packages/cardamomtack/src/cardamomtack/measuring/pacer.py
+++ b/packages/cardamomtack/src/cardamomtack/measuring/pacer.py
@@ -24,17 +24,55 @@
         self._spent: deque[tuple[float, float]] = deque()
         self._total = 0.0
 
-    def spend(self, amount: float, now_s: float) -> bool:
-        """Return whether an amount may be spent now, and spend it."""
+    def has_room(self, now_s: float, amount: float = 1.0) -> bool:
+        """Return whether an amount may be spent now."""
         while self._spent and self._spent[0][0] <= now_s - WINDOW_S:
             self._total -= self._spent.popleft()[1]
-        if self._total + amount > self.limit:
+        return self._total + amount <= self.limit
+
+    def spend(self, amount: float, now_s: float) -> bool:
+        """Return whether an amount may be spent now, and spend it."""
+        if not self.has_room(now_s, amount):
             return False
         self._spent.append((now_s, amount))
         self._total += amount
         return True
 
 
+class CheckPacer:
+    """Spends at most an equal share of the health checks that the fleet may send."""
+
+    __slots__ = ("_limit", "skipped")
+
+    def __init__(self) -> None:
+        self._limit = WindowLimit(0.0)
+        self.skipped = 0
+
+    def apply_bounds(self, checks_per_server_s: float, servers: int, vms: int) -> None:
+        """Take the bounds.
+
+        Parameters
+        ----------
+        checks_per_server_s : float
+            Health checks that one server may get from all VMs in a second.
+        servers, vms : int
+            How many servers and VMs there are.
+        """
+        self._limit.limit = checks_per_server_s * servers / max(1, vms) * WINDOW_S
+
+    def can_check(self, now_s: float) -> bool:
+        """Return whether one more check may be sent now."""
+        return self._limit.has_room(now_s)
+
+    def grant_checks(self, wanted: int, now_s: float) -> int:
+        """Return how many of the wanted checks may be sent now, and spend them."""
+        granted = 0
+        while granted < wanted and self._limit.spend(1.0, now_s):
+            granted += 1
+        self.skipped += wanted - granted
+        return granted
+
+
 class MeasuringPacer:
     """Spends at most an equal share of the fleet's budget.
 
--- a/packages/cardamomtack/src/cardamomtack/placing/budget.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/budget.py
@@ -9,39 +9,54 @@
 
 from collections import deque
 
-from cardamomtack.placing.const import RETRY_SLACK_PER_VM, RETRY_WINDOW_SHARE
+from cardamomtack.placing.const import RETRY_BUDGET_SHARE
 
 
 class RetryBudget:
     """Bounds the further sends to one service in any window of time.
 
-    Parameters
+    Attributes
     ----------
-    share : float
-        Further sends that the fleet may make for each request.
-    window_s : float
-        Length of the window, in seconds.
+    refused : int
+        Further sends that were not allowed.
     """
 
-    __slots__ = ("_further", "_requests", "refused", "share", "window_s")
+    __slots__ = ("_further", "_requests", "_share", "_slack", "_window_s", "refused")
 
-    def __init__(self, share: float, window_s: float) -> None:
-        self.share = share
-        self.window_s = window_s
+    def __init__(self) -> None:
+        self._share = 0.0
+        self._slack = 0.0
+        self._window_s = 1.0
         self.refused = 0
         self._further: deque[float] = deque()
         self._requests: deque[float] = deque()
 
+    def apply_bounds(self, share: float, slack: float, window_s: float) -> None:
+        """Take the bounds.
+
+        Parameters
+        ----------
+        share : float
+            Further sends that the fleet may make for each request.
+        slack : float
+            This VM's part of the further sends that the fleet may make beside them.
+        window_s : float
+            Length of the window, in seconds.
+        """
+        self._share = share
+        self._slack = slack
+        self._window_s = window_s
+
     def record_request(self, now_s: float) -> None:
         """Count a request of a caller."""
         self._requests.append(now_s)
 
     def spend_send(self, now_s: float) -> bool:
         """Return whether one further send may be made, and pay for it."""
-        _drop_old(self._further, now_s - self.window_s)
-        _drop_old(self._requests, now_s - self.window_s)
-        allowed = len(self._requests) * self.share * RETRY_WINDOW_SHARE
-        if len(self._further) + 1 > allowed + RETRY_SLACK_PER_VM:
+        _drop_old(self._further, now_s - self._window_s)
+        _drop_old(self._requests, now_s - self._window_s)
+        allowed = len(self._requests) * self._share + self._slack
+        if len(self._further) + 1 > allowed * RETRY_BUDGET_SHARE:
             self.refused += 1
             return False
         self._further.append(now_s)
--- a/packages/cardamomtack/src/cardamomtack/placing/const.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/const.py
@@ -11,8 +11,9 @@
 FAILURE_HALF_LIFE_S: Final = 3.0
 FULL_SHARE: Final = 0.8
 FULL_SLOWDOWN: Final = 1.7
-RETRY_SLACK_PER_VM: Final = 1
-RETRY_WINDOW_SHARE: Final = 0.8
+RETRY_BUDGET_SHARE: Final = 0.7
+"""Part of the retry budget that is spent, for VMs that are not known yet."""
+
 SPEED_HOLD_S: Final = 0.3
 WARM_UP_COST_FACTOR: Final = 1.0
 WORK_GAIN: Final = 0.1
--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -159,7 +159,7 @@
     def estimate_failure_share(self, now_s: float) -> float:
         """Return the recent share of failures, fading with time."""
         age_s = max(0.0, now_s - self._failure_at_s)
-        return self._failure_share * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+        return self._failure_share * float(0.5 ** (age_s / FAILURE_HALF_LIFE_S))
 
     def _move_failure_share(self, outcome: float, now_s: float) -> None:
         """Move the share of failures towards an outcome."""
--- a/packages/cardamomtack/src/cardamomtack/replicas/members.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/members.py
@@ -68,12 +68,15 @@
         return True
 
     def note_alive(self, vm_id: str) -> None:
-        """Note that a VM has been heard of."""
+        """Note that a VM can be heard and that the store answers it."""
         self._dead_s.pop(vm_id, None)
         self._dead_until_s.pop(vm_id, None)
 
     def note_dead(self, vm_id: str, now_s: float) -> None:
-        """Pass over a VM for a while, longer each time in a row."""
+        """Pass over a VM for a while, longer each time in a row.
+
+        It is silent, or the store does not answer it; this VM can be meant, too.
+        """
         pause_s = min(DEAD_S_MAX, 2.0 * self._dead_s.get(vm_id, DEAD_S_MIN / 2.0))
         self._dead_s[vm_id] = pause_s
         self._dead_until_s[vm_id] = now_s + pause_s
@@ -85,13 +88,11 @@
     def choose_readers(self, now_s: float) -> list[Member]:
         """Return the VMs that read the store, the first one at the root.
 
-        They are spread over the availability zones.
+        They are spread over the availability zones. A VM that is passed over reads
+        only when all are, as in an outage of the store.
         """
-        alive = [self.own] + [
-            member
-            for member in self._members.values()
-            if self.is_alive(member.vm_id, now_s)
-        ]
+        known = self.list_members()
+        alive = [one for one in known if self.is_alive(one.vm_id, now_s)] or known
         by_zone: dict[str, list[Member]] = {}
         for member in sorted(alive, key=lambda one: one.vm_id):
             by_zone.setdefault(member.availability_zone, []).append(member)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/asking.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/asking.py
@@ -7,6 +7,7 @@
 from anyio import Event, create_task_group, move_on_after
 
 from cardamomtack.helpers.clock import Clock
+from cardamomtack.measuring.pacer import CheckPacer
 from cardamomtack.placing.server import ServerView, ServiceView
 from cardamomtack_daemon.forwarding.const import ASK_TIMEOUT_S, ASK_TIMEOUT_S_MAX
 from cardamomtack_daemon.forwarding.names import HeaderNames
@@ -48,12 +49,17 @@
     ----------
     asked : int
         Health checks sent.
+    health_paths : dict
+        Path of the health check by service.
+    pacer : CheckPacer
+        Bounds the health checks.
     """
 
-    __slots__ = ("_clock", "_names", "_pool", "asked", "health_paths")
+    __slots__ = ("_clock", "_names", "_pool", "asked", "health_paths", "pacer")
 
     def __init__(self, pool: ConnectionPool, names: HeaderNames, clock: Clock) -> None:
         self._clock = clock
+        self.pacer = CheckPacer()
         self._names = names
         self._pool = pool
         self.asked = 0
@@ -64,6 +70,8 @@
     ) -> list[AskedServer]:
         """Return the servers that have answered in time that they take work."""
         asked: list[AskedServer] = []
+        now_s = self._clock.read_monotonic_s()
+        servers = servers[: self.pacer.grant_checks(len(servers), now_s)]
         if not servers:
             return asked
         first = Event()
@@ -92,6 +100,11 @@
             tasks.cancel_scope.cancel()
         return asked
 
+    @property
+    def is_exhausted(self) -> bool:
+        """Return whether no further health check may be sent now."""
+        return not self.pacer.can_check(self._clock.read_monotonic_s())
+
     def release(self, asked: list[AskedServer], chosen: AskedServer | None) -> None:
         """Give back the connections of the servers that were not chosen."""
         for one in asked:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -94,14 +95,32 @@
         Takes connections back.
     ledger : CrashLedger
         Suspects of crashes.
+    report_crash : callable
+        Tells the other VMs of a crash: the server's incarnation, and the digests of
+        the requests that it was running for this VM.
     clock : Clock
         Tells the time.
     """
 
-    __slots__ = ("_clock", "_digests", "_ledger", "_pool")
+    __slots__ = (
+        "_clock",
+        "_connections",
+        "_digests",
+        "_ledger",
+        "_pool",
+        "_report_crash",
+    )
 
-    def __init__(self, pool: ConnectionPool, ledger: CrashLedger, clock: Clock) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        ledger: CrashLedger,
+        report_crash: Callable[[str, list[bytes]], None],
+        clock: Clock,
+    ) -> None:
         self._clock = clock
+        self._connections: set[ServerConnection] = set()
+        self._report_crash = report_crash
         self._digests: dict[str, list[bytes]] = {}
         self._ledger = ledger
         self._pool = pool
@@ -110,6 +129,11 @@
         """Give back the connection of a server that gets nothing after all."""
         self._pool.release(asked.server, asked.connection)
 
+    def expire_all(self) -> None:
+        """Have every call in flight end as at its deadline, because this VM ends."""
+        for connection in list(self._connections):
+            connection.expire()
+
     async def async_send(self, call: ForwardedCall, asked: AskedServer) -> SendResult:
         """Send a request and return what became of it.
 
@@ -123,6 +147,7 @@
         call.tried.add(server.vm_id)
         server.record_send()
         digests.append(call.digest)
+        self._connections.add(connection)
         rest: AnswerRest | None = None
         try:
             result = await self._async_exchange(call, server, connection)
@@ -134,6 +159,7 @@
             result = SendResult(SendOutcome.BROKEN)
         finally:
             digests.remove(call.digest)
+            self._connections.discard(connection)
             if rest is None:
                 server.record_end()
                 self._pool.release(server, connection)
@@ -208,4 +234,6 @@
         """Note a crash of a server."""
         server.record_unreachable(self._clock.read_monotonic_s())
         self._pool.drop_server(server.vm_id)
-        self._ledger.record_crash(server.vm_id, suspects)
+        if suspects:
+            incarnation = f"{server.vm_id}/{server.entry.incarnation}"
+            self._report_crash(incarnation, suspects)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -9,7 +9,7 @@
 from random import Random, SystemRandom
 from typing import Protocol
 
-from anyio import create_task_group, move_on_after, open_signal_receiver, sleep
+from anyio import Event, create_task_group, move_on_after, open_signal_receiver, sleep
 from anyio.abc import TaskGroup
 from loguru import logger
 
@@ -34,6 +34,7 @@
     CALLER_CONNECTIONS_MAX,
     DRAIN_CHECK_S,
     EXIT_MARGIN_S,
+    HEAD_MARGIN_S,
     IDLE_MARGIN_S,
     MAINTENANCE_S,
 )
@@ -112,6 +113,8 @@
         Tells the time.
     random : Random
         Source of choices.
+    reload : callable
+        Reads the settings again when a signal asks for it.
     """
 
     __slots__ = (
@@ -129,9 +132,12 @@
         "_readiness",
         "_registry",
         "_relay",
+        "_reload",
         "_replicas",
         "_routes",
+        "_sender",
         "_settings",
+        "_stopped",
     )
 
     def __init__(
@@ -142,8 +148,11 @@
         sources: StoreSources,
         clock: Clock,
         random: Random,
+        reload: Callable[[], None] = lambda: None,
     ) -> None:
         self._clock = clock
+        self._reload = reload
+        self._stopped = Event()
         self._is_leaving = False
         self._settings = settings
         self._ledger = CrashLedger(clock)
@@ -181,7 +190,9 @@
             self._members, self._replicas, self._apply_crash, clock
         )
         self._readers = [
-            TopicReader(replica, source, self._is_reader, clock, random)
+            TopicReader(
+                replica, source, self._is_reader, self._note_answer, clock, random
+            )
             for replica, source in (
                 (configuration, sources.configuration),
                 (servers, sources.servers),
@@ -194,12 +205,15 @@
         clock = self._clock
         chooser = PlacementChooser(random, settings.availability_zone)
         self._asker = ServerAsker(self._pool, names, clock)
+        self._sender = RequestSender(
+            self._pool, self._ledger, self._report_crash, clock
+        )
         self._forwarder = Forwarder(
             settings,
             names,
             self._routes,
             Placer(self._registry, chooser, self._asker, self._pool, clock),
-            RequestSender(self._pool, self._ledger, clock),
+            self._sender,
             self._ledger,
             clock,
             random,
@@ -220,18 +234,41 @@
 
     async def async_run(self) -> None:
         """Run until a signal asks for a graceful shutdown and it is done."""
+        stopping = Event()
+        async with create_task_group() as tasks:
+            with open_signal_receiver(
+                signal.SIGHUP, signal.SIGINT, signal.SIGTERM
+            ) as signals:
+                tasks.start_soon(self.async_serve, stopping)
+                async for number in signals:
+                    logger.bind(signal=number.name).info("signal received")
+                    if number is signal.SIGHUP:
+                        self._reload()
+                    else:
+                        stopping.set()
+                        break
+                # A second signal must not end the process before its time.
+                await self._stopped.wait()
+            tasks.cancel_scope.cancel()
+
+    async def async_serve(self, stopping: Event) -> None:
+        """Serve until an event asks for a graceful shutdown and it is done."""
         async with create_task_group() as tasks:
             self._start_tasks(tasks)
             gc.collect()
             gc.freeze()
             gc.set_threshold(GC_THRESHOLD)
             logger.info("started")
-            with open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-                async for number in signals:
-                    logger.bind(signal=number.name).info("graceful shutdown starts")
-                    break
-                await self._async_shut_down()
+            await stopping.wait()
+            await self._async_shut_down()
             tasks.cancel_scope.cancel()
+        self._stopped.set()
+
+    def apply_settings(self, settings: EntrySettings) -> None:
+        """Take newer settings; addresses stay those of the start."""
+        self._settings = settings
+        self._forwarder.settings = settings
+        self._share_budgets()
 
     def _start_tasks(self, tasks: TaskGroup) -> None:
         """Start all tasks."""
@@ -253,6 +290,7 @@
         while True:
             await sleep(MAINTENANCE_S)
             now_s = self._clock.read_monotonic_s()
+            self._share_budgets()
             if any(one.find_age_s(now_s) > STALE_S for one in self._replicas):
                 self._registry.note_source_trouble()
             self._registry.drop_lapsed()
@@ -269,6 +307,8 @@
             self._forwarder.is_refusing = True
             while self._forwarder.in_flight:
                 await sleep(DRAIN_CHECK_S)
+        # What is still running gets an answer rather than a broken connection.
+        self._sender.expire_all()
         self._callers.close_idle()
         # Answers that were just written leave with the next turns of the loop.
         await sleep(DRAIN_CHECK_S)
@@ -278,6 +318,8 @@
         """Take a new configuration."""
         limits = configuration.limits
         self._limits.body_bytes_max = limits.body_bytes_max
+        self._limits.head_bytes_max = limits.header_bytes_max
+        self._limits.head_s = limits.header_timeout_s + HEAD_MARGIN_S
         self._limits.idle_s = limits.idle_timeout_s + IDLE_MARGIN_S
         self._asker.health_paths = {
             name: service.health_path.encode()
@@ -300,6 +342,27 @@
             return True
         return self._members.is_reader(self._clock.read_monotonic_s())
 
+    def _share_budgets(self) -> None:
+        """Share the budgets of the fleet among the VMs that are known."""
+        vms = self._members.count
+        self._forwarder.vms = vms
+        self._asker.pacer.apply_bounds(
+            self._settings.checks_per_server_s, len(self._registry.servers), vms
+        )
+
+    def _report_crash(self, server_id: str, digests: list[bytes]) -> None:
+        """Tell all VMs of a crash, this one included."""
+        notice_id = f"{SystemRandom().getrandbits(INCARNATION_BITS):016x}"
+        self._relay.report_crash(CrashNotice(notice_id, server_id, digests))
+
+    def _note_answer(self, is_answered: bool) -> None:
+        """Let other VMs read for this one while the store does not answer it."""
+        own_id = self._settings.vm_id
+        if is_answered:
+            self._members.note_alive(own_id)
+        else:
+            self._members.note_dead(own_id, self._clock.read_monotonic_s())
+
     def _apply_crash(self, notice: CrashNotice) -> None:
         """Take the notice of a crash of a server."""
         self._ledger.record_crash(notice.server_id, notice.request_digests)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -66,6 +66,10 @@
         Requests that are not answered yet.
     is_refusing : bool
         Whether new requests are sent to other VMs, because this one leaves.
+    settings : EntrySettings
+        Settings of the VM; newer ones may take their place.
+    vms : int
+        How many VMs share the budgets of the fleet.
     """
 
     __slots__ = (
@@ -77,9 +81,10 @@
         "_random",
         "_routes",
         "_sender",
-        "_settings",
         "in_flight",
         "is_refusing",
+        "settings",
+        "vms",
     )
 
     def __init__(
@@ -101,9 +106,10 @@
         self._random = random
         self._routes = routes
         self._sender = sender
-        self._settings = settings
         self.in_flight = 0
         self.is_refusing = False
+        self.settings = settings
+        self.vms = 1
 
     async def async_handle(self, request: HttpRequest) -> Handled:
         """Return the answer, and the source of its rest when it isn't whole."""
@@ -206,9 +212,14 @@
         """Return the budget of further sends to a service."""
         budget = self._budgets.get(service)
         if budget is None:
-            settings = self._settings
-            budget = RetryBudget(settings.retry_share, settings.retry_window_s)
+            budget = RetryBudget()
             self._budgets[service] = budget
+        settings = self.settings
+        budget.apply_bounds(
+            settings.retry_share,
+            settings.retry_slack / self.vms,
+            settings.retry_window_s,
+        )
         return budget
 
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -74,6 +74,8 @@
             resting = self._chooser.sample_resting(service, call.tried)
             asked = await self._asker.async_ask(service, resting)
             best = self._choose(asked, work_s)
+        if best is None and self._asker.is_exhausted:
+            best = await self._async_place_unasked(service, call)
         if best is not None and not self._is_worth_it(best, call, work_s):
             best = None
         self._asker.release(asked, best)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -156,6 +156,7 @@
         "_fault",
         "_is_busy",
         "_is_cut",
+        "_is_expired",
         "_is_head",
         "_transport",
         "_waiter",
@@ -173,6 +174,7 @@
         self._fault: str | None = None
         self._is_busy = False
         self._is_cut = False
+        self._is_expired = False
         self._is_head = False
         self._transport: Transport | None = None
         self._waiter: Future[None] | None = None
@@ -303,6 +305,11 @@
             await self._async_wait()
         return self._take_body()
 
+    def expire(self) -> None:
+        """Have the receiver of the answer give up at once, as at its timeout."""
+        self._is_expired = True
+        self._wake()
+
     def abort(self) -> None:
         """Close the connection; an answer that still arrives is dropped."""
         self.is_reusable = False
@@ -313,21 +320,15 @@
         self, buffer_bytes_max: int, timeout_s: float | None
     ) -> bool:
         """Wait for a whole or a long body and return whether it came in time."""
-        is_late = False
-
-        def note_late() -> None:
-            nonlocal is_late
-            is_late = True
-            self._wake()
-
+        self._is_expired = False
         timer = None
         if timeout_s is not None:
-            timer = get_running_loop().call_later(timeout_s, note_late)
+            timer = get_running_loop().call_later(timeout_s, self.expire)
         try:
             while not self._collector.has_ended:
                 if self._buffered_bytes > buffer_bytes_max:
                     return True
-                if is_late:
+                if self._is_expired:
                     return False
                 await self._async_wait()
         finally:
@@ -380,9 +381,14 @@
             and not collector.foreign
             and not self._is_head
             and not self._is_cut
+            and not self._has_unsent()
             and collector.keep_alive
         )
 
+    def _has_unsent(self) -> bool:
+        """Return whether the server has answered before it took the whole request."""
+        return bool(self._transport and self._transport.get_write_buffer_size())
+
     def _check_head(self) -> None:
         """Handle heads without a body of known length."""
         collector = self._collector
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
@@ -28,6 +28,7 @@
 BACKLOG = 1024
 BODY_TIMEOUT_S = 30.0
 HEAD_BYTES_MAX = 65536
+HEAD_TIMEOUT_S = 30.0
 IDLE_CHECK_S = 1.0
 PIPELINED_MAX = 16
 
@@ -62,6 +63,10 @@
         Open connections.
     idle_s : float
         Time after which an idle connection is closed, in seconds.
+    head_bytes_max : int
+        Largest head of a request, in bytes.
+    head_s : float
+        Time for the head of a request, from its first byte on, in seconds.
     cancels_abandoned : bool
         Whether the work on a request ends when its caller has gone. Work that others
         wait for, as that on a claim, goes on.
@@ -71,8 +76,9 @@
         "body_bytes_max",
         "cancels_abandoned",
         "connections_max",
+        "head_bytes_max",
+        "head_s",
         "idle_s",
-        "request_s",
     )
 
     def __init__(
@@ -85,8 +91,9 @@
         self.body_bytes_max = body_bytes_max
         self.cancels_abandoned = cancels_abandoned
         self.connections_max = connections_max
+        self.head_bytes_max = HEAD_BYTES_MAX
+        self.head_s = HEAD_TIMEOUT_S
         self.idle_s = idle_s
-        self.request_s = BODY_TIMEOUT_S
 
 
 class CallerGoneError(Exception):
@@ -100,10 +107,10 @@
     ----------
     server : CallerServer
         The server that accepted it.
-    body_bytes_max : int
-        Largest request body, in bytes.
-    now_s : float
-        Monotonic time, in seconds.
+    limits : ConnectionLimits
+        Bounds of the connection.
+    clock : Clock
+        Tells the time.
 
     Attributes
     ----------
@@ -114,16 +121,21 @@
     """
 
     __slots__ = (
+        "_began_at_s",
         "_body",
+        "_body_size",
         "_can_write",
+        "_clock",
+        "_has_head",
+        "_head_size",
         "_headers",
         "_is_lost",
+        "_limits",
         "_parser",
         "_ready",
         "_refusal",
         "_server",
         "_size",
-        "_size_max",
         "_target",
         "_transport",
         "_waiter",
@@ -131,9 +143,16 @@
         "waits_since_s",
     )
 
-    def __init__(self, server: CallerServer, body_bytes_max: int, now_s: float) -> None:
+    def __init__(
+        self, server: CallerServer, limits: ConnectionLimits, clock: Clock
+    ) -> None:
+        self._began_at_s = 0.0
+        self._body_size = 0
+        self._clock = clock
+        self._has_head = False
+        self._head_size = 0
+        self._limits = limits
         self._server = server
-        self._size_max = HEAD_BYTES_MAX + body_bytes_max
         self._body: list[bytes] = []
         self._can_write: Future[None] | None = None
         self._headers: HeaderList = []
@@ -146,7 +165,7 @@
         self._transport: Transport | None = None
         self._waiter: Future[None] | None = None
         self.scope: CancelScope | None = None
-        self.waits_since_s: float | None = now_s
+        self.waits_since_s: float | None = clock.read_monotonic_s()
 
     @property
     def is_between_requests(self) -> bool:
@@ -160,6 +179,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what arrives."""
+        if self._size == 0:
+            self._began_at_s = self._clock.read_monotonic_s()
         self._size += len(data)
         try:
             self._parser.feed_data(data)
@@ -167,8 +188,8 @@
             self._refuse(400, "upgrades are not supported")
         except HttpParserError as error:
             self._refuse(400, f"malformed request: {error}")
-        if self._size > self._size_max:
-            self._refuse(413, "request is too large")
+        if not self._has_head and self._size > self._limits.head_bytes_max:
+            self._refuse(431, "head of the request is too large")
         if len(self._ready) >= PIPELINED_MAX and self._transport is not None:
             self._transport.pause_reading()
         if self._ready or self._refusal is not None:
@@ -197,21 +218,38 @@
         self._target = b""
         self._headers = []
         self._body = []
+        self._body_size = 0
+        self._has_head = False
+        self._head_size = 0
 
     def on_url(self, target: bytes) -> None:
         """Collect a part of the target."""
+        self._head_size += len(target)
         self._target += target
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field."""
         self._headers.append((name.lower(), value))
+        self._head_size += len(name) + len(value)
+
+    def on_headers_complete(self) -> None:
+        """Note that the head is complete, and check its size."""
+        self._has_head = True
+        if self._head_size > self._limits.head_bytes_max:
+            self._refuse(431, "head of the request is too large")
 
     def on_body(self, chunk: bytes) -> None:
         """Collect a part of the body."""
+        self._body_size += len(chunk)
+        if self._body_size > self._limits.body_bytes_max:
+            self._refuse(413, "body of the request is too large")
+            return
         self._body.append(chunk)
 
     def on_message_complete(self) -> None:
         """Complete a request."""
+        if self._refusal is not None:
+            return
         parser = self._parser
         is_current = parser.get_http_version() == "1.1"
         keep_alive = parser.should_keep_alive() and is_current
@@ -246,6 +284,16 @@
             self._transport.resume_reading()
         return self._ready.popleft()
 
+    def is_overdue(self, now_s: float) -> bool:
+        """Return whether the caller has taken too long to send a request."""
+        if self.waits_since_s is None:
+            return False
+        limits = self._limits
+        if self._size == 0:
+            return now_s - self.waits_since_s > limits.idle_s
+        limit_s = BODY_TIMEOUT_S if self._has_head else limits.head_s
+        return now_s - self._began_at_s > limit_s
+
     def send(self, data: bytes) -> None:
         """Send bytes to the caller.
 
@@ -348,8 +396,7 @@
 
     def _make_connection(self) -> CallerConnection:
         """Return the protocol of a new connection."""
-        now_s = self._clock.read_monotonic_s()
-        return CallerConnection(self, self._limits.body_bytes_max, now_s)
+        return CallerConnection(self, self._limits, self._clock)
 
     async def _async_close_idle(self) -> None:
         """Close connections on which nothing arrives for too long.
@@ -361,11 +408,7 @@
             await sleep(IDLE_CHECK_S)
             now_s = self._clock.read_monotonic_s()
             for connection in list(self._connections):
-                timeout_s = self._limits.request_s
-                if connection.is_between_requests:
-                    timeout_s = self._limits.idle_s
-                since_s = connection.waits_since_s
-                if since_s is not None and now_s - since_s > timeout_s:
+                if connection.is_overdue(now_s):
                     connection.close()
 
     def close_idle(self) -> None:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/exchange.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/exchange.py
@@ -184,7 +184,9 @@
             except STREAM_ERRORS as error:
                 logger.bind(error=repr(error)).debug("peer stream could not start")
 
-    async def _async_exchange(self, messages: MessageStream, greeting: Hello) -> None:
+    async def _async_exchange(
+        self, messages: MessageStream[PeerMessage], greeting: Hello
+    ) -> None:
         """Exchange messages with a peer that has said who it is."""
         outbox, frames = create_memory_object_stream[bytes](OUTBOX_MAX)
         link = PeerLink(greeting.vm_id, greeting.incarnation, outbox)
@@ -203,7 +205,7 @@
 
     async def _async_send_frames(
         self,
-        messages: MessageStream,
+        messages: MessageStream[PeerMessage],
         frames: MemoryObjectReceiveStream[bytes],
         tasks: TaskGroup,
     ) -> None:
@@ -222,7 +224,7 @@
             await sleep(HEARTBEAT_S)
 
     async def _async_read_messages(
-        self, messages: MessageStream, link: PeerLink
+        self, messages: MessageStream[PeerMessage], link: PeerLink
     ) -> None:
         """Read messages until the stream is lost or silent for too long."""
         try:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/reader.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/reader.py
@@ -39,6 +39,8 @@
         The topic at the store.
     is_reader : callable
         Returns whether others rely on this VM.
+    note_answer : callable
+        Is told after each read whether the store answered.
     clock : Clock
         Tells the time.
     random : Random
@@ -55,6 +57,7 @@
         "_clock",
         "_is_reader",
         "_must_read_newest",
+        "_note_answer",
         "_random",
         "_replica",
         "_source",
@@ -69,6 +72,7 @@
         replica: TopicReplica,
         source: TopicSource,
         is_reader: Callable[[], bool],
+        note_answer: Callable[[bool], None],
         clock: Clock,
         random: Random,
     ) -> None:
@@ -76,6 +80,7 @@
         self._clock = clock
         self._is_reader = is_reader
         self._must_read_newest = False
+        self._note_answer = note_answer
         self._random = random
         self._replica = replica
         self._source = source
@@ -148,6 +153,7 @@
         """Note that the store answers."""
         if self._backoff_s > BACKOFF_S_MIN:
             logger.bind(topic=self._replica.topic).info("the store can be read again")
+        self._note_answer(True)
         self._backoff_s = BACKOFF_S_MIN
         self._timeout_s = READ_TIMEOUT_S
         self._was_answered = True
@@ -158,6 +164,7 @@
             logger.bind(topic=self._replica.topic, error=str(error)).warning(
                 "the store can't be read"
             )
+        self._note_answer(False)
         self._was_answered = False
         self._timeout_s = min(READ_TIMEOUT_S_MAX, 1.5 * self._timeout_s)
         longest_s = READER_BACKOFF_S_MAX if self._is_reader() else BACKOFF_S_MAX
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -180,8 +180,7 @@
                 await self._async_take_messages(messages, outbox, upstream)
                 tasks.cancel_scope.cancel()
         except* STREAM_ERRORS as group:
-            error = group.exceptions[0]
-            logger.bind(upstream=upstream.vm_id, error=repr(error)).info(
+            logger.bind(upstream=upstream.vm_id, error=repr(group.exceptions[0])).info(
                 "stream from upstream VM ended"
             )
             self._note_dead(upstream)
@@ -204,12 +203,17 @@
         TimeoutError
             When it is silent.
         """
+        began_s = self._clock.read_monotonic_s()
         while True:
             message = await messages.async_receive(SILENCE_S_MAX)
             self.upstream_id = upstream.vm_id
-            self._members.note_alive(upstream.vm_id)
             self._take_message(message, outbox)
             now_s = self._clock.read_monotonic_s()
+            if message.freshness is not None:
+                if len(message.freshness.topics) == len(self._replicas):
+                    self._members.note_alive(upstream.vm_id)
+                elif now_s - began_s > STALE_S and self._is_stale(now_s):
+                    self._members.note_dead(upstream.vm_id, now_s)
             best = self._members.choose_upstream(now_s)
             if best is None or best.vm_id != upstream.vm_id:
                 return
@@ -323,6 +327,12 @@
             self._subscribers.discard(outbox)
             outbox.close()
 
+    def _is_stale(self, now_s: float) -> bool:
+        """Return whether a topic has not been confirmed for too long."""
+        return any(
+            replica.find_age_s(now_s) > STALE_S for replica in self._replicas.values()
+        )
+
     def _write_subscription(self) -> RelayMessage:
         """Return the first message to an upstream VM."""
         positions = [
