--- a/packages/cardamomtack/src/cardamomtack/balancing/directory.py
+++ b/packages/cardamomtack/src/cardamomtack/balancing/directory.py
@@ -5,7 +5,7 @@
 from cardamomtack.balancing.const import EJECTION_SHARE_MAX, LATENCY_INITIAL_S
 from cardamomtack.balancing.server import BackendServer, ServerState
 from cardamomtack.configuration.routes import RouteTable
-from cardamomtack.generated.platform import Health, VirtualMachine
+from cardamomtack.generated.services import Health, VirtualMachine
 from cardamomtack.helpers.clock import Clock
 
 SLOTS_DEFAULT = 1
--- a/packages/cardamomtack/src/cardamomtack/balancing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/balancing/server.py
@@ -16,7 +16,7 @@
     LATENCY_INITIAL_S,
     LOAD_DECAY_S,
 )
-from cardamomtack.generated.platform import VirtualMachine
+from cardamomtack.generated.services import VirtualMachine
 
 
 class ServerState(Enum):
--- a/packages/cardamomtack/src/cardamomtack/placing/chooser.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/chooser.py
@@ -123,10 +123,16 @@
     def choose_server(
         self, servers: list[ServerView], work_s: float, now_s: float
     ) -> ServerView | None:
-        """Return the server that is expected to answer first, or None."""
+        """Return the server that is expected to answer first, or None.
+
+        Equal ones are drawn from, so that no server is left out for its place.
+        """
         return min(
             servers,
-            key=lambda server: self.estimate_s(server, work_s, now_s),
+            key=lambda server: (
+                self.estimate_s(server, work_s, now_s),
+                self._random.random(),
+            ),
             default=None,
         )
 
--- a/packages/cardamomtack/src/cardamomtack/platform/log_service.py
+++ b/packages/cardamomtack/src/cardamomtack/services/log_service.py
@@ -8,7 +8,7 @@
 from httpx import AsyncClient, ConnectError, ConnectTimeout, HTTPError
 from msgspec import DecodeError, ValidationError, msgpack
 
-from cardamomtack.generated.platform import AppendReply, ReadReply
+from cardamomtack.generated.services import AppendReply, ReadReply
 
 APPEND_TIMEOUT_S = 3.0
 CONNECT_TIMEOUT_S = 1.0
--- a/packages/cardamomtack/src/cardamomtack/platform/vm_list.py
+++ b/packages/cardamomtack/src/cardamomtack/services/vm_list.py
@@ -7,7 +7,7 @@
 from httpx import AsyncClient, HTTPError
 from msgspec import DecodeError, ValidationError, json
 
-from cardamomtack.generated.platform import VirtualMachine
+from cardamomtack.generated.services import VirtualMachine
 
 TIMEOUT_S = 2.0
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/daemon.py
@@ -34,9 +34,9 @@
 )
 from cardamomtack.helpers.clock import MS_PER_S, Clock, SystemClock
 from cardamomtack.measuring.pacer import MeasuringPacer
-from cardamomtack.platform.log_service import HttpLogService
-from cardamomtack.platform.vm_list import HttpVmList
 from cardamomtack.quarantine.ledger import CrashLedger
+from cardamomtack.services.log_service import HttpLogService
+from cardamomtack.services.vm_list import HttpVmList
 from cardamomtack_daemon.admin import async_serve_admin
 from cardamomtack_daemon.http1.server import CallerServer, ConnectionLimits
 from cardamomtack_daemon.peers.exchange import PeerExchange
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -183,6 +183,7 @@
         )
         servers = TopicReplica(TOPIC_SERVERS)
         servers.add_listener(DiscoveryCoordinator(codec, self._registry).apply_records)
+        servers.add_listener(lambda _: self._share_budgets())
         self._members = MemberTable(own)
         self._membership = MembershipTask(self._members, sources.members, random)
         self._replicas = [configuration, servers]
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -100,11 +100,9 @@
     def _choose(self, asked: list[AskedServer], work_s: float) -> AskedServer | None:
         """Return the asked server that is expected to answer first, or None."""
         now_s = self._clock.read_monotonic_s()
-        return min(
-            asked,
-            key=lambda one: self._chooser.estimate_s(one.server, work_s, now_s),
-            default=None,
-        )
+        servers = [one.server for one in asked]
+        chosen = self._chooser.choose_server(servers, work_s, now_s)
+        return next((one for one in asked if one.server is chosen), None)
 
     def _is_good(self, best: AskedServer, call: ForwardedCall, work_s: float) -> bool:
         """Return whether no other zone needs to be asked."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/exchange.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/exchange.py
@@ -21,7 +21,7 @@
 from loguru import logger
 
 from cardamomtack.generated.peer import Heartbeat, Hello, PeerMessage
-from cardamomtack.generated.platform import VirtualMachine
+from cardamomtack.generated.services import VirtualMachine
 from cardamomtack_daemon.peers.const import (
     DIAL_PAUSE_S,
     DIAL_TIMEOUT_S,
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/router.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/router.py
@@ -18,7 +18,7 @@
     ServerLoad,
     SnapshotRequest,
 )
-from cardamomtack.generated.platform import Health
+from cardamomtack.generated.services import Health
 from cardamomtack.helpers.clock import MS_PER_S, Clock
 from cardamomtack.measuring.pacer import MeasuringPacer
 from cardamomtack.quarantine.ledger import CrashLedger
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tasks/claims.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tasks/claims.py
@@ -7,7 +7,7 @@
 
 from cardamomtack.claims.const import CLAIMS_STREAM
 from cardamomtack.claims.coordinator import ClaimCoordinator
-from cardamomtack.platform.log_service import (
+from cardamomtack.services.log_service import (
     AppendUnknownError,
     LogService,
     LogUnavailableError,
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tasks/configuration.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tasks/configuration.py
@@ -9,7 +9,7 @@
 from cardamomtack.configuration.const import CONFIGURATION_STREAM
 from cardamomtack.configuration.coordinator import ConfigurationCoordinator
 from cardamomtack.configuration.routes import RouteTable
-from cardamomtack.platform.log_service import (
+from cardamomtack.services.log_service import (
     AppendUnknownError,
     LogRead,
     LogService,
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tasks/counts.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tasks/counts.py
@@ -11,7 +11,7 @@
 from cardamomtack.configuration.coordinator import ConfigurationCoordinator
 from cardamomtack.generated.records import CountsRecord, LogRecord
 from cardamomtack.helpers.clock import Clock
-from cardamomtack.platform.log_service import (
+from cardamomtack.services.log_service import (
     AppendUnknownError,
     LogService,
     LogUnavailableError,
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tasks/membership.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tasks/membership.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from cardamomtack.balancing.directory import ServerDirectory
-from cardamomtack.platform.vm_list import VmList, VmListUnavailableError
+from cardamomtack.services.vm_list import VmList, VmListUnavailableError
 from cardamomtack_daemon.const import ROLE_ENTRY
 from cardamomtack_daemon.peers.exchange import PeerExchange
 from cardamomtack_daemon.pool import ConnectionPool
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tasks/probing.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tasks/probing.py
@@ -10,7 +10,7 @@
 from cardamomtack.balancing.directory import ServerDirectory
 from cardamomtack.balancing.server import BackendServer
 from cardamomtack.generated.peer import ServerLoad
-from cardamomtack.generated.platform import Health
+from cardamomtack.generated.services import Health
 from cardamomtack.helpers.clock import MS_PER_S, Clock
 from cardamomtack.measuring.const import PROBERS_PER_SERVER
 from cardamomtack.measuring.pacer import MeasuringPacer
--- a/packages/cardamomtack_operator/src/cardamomtack_operator/commands.py
+++ b/packages/cardamomtack_operator/src/cardamomtack_operator/commands.py
@@ -12,8 +12,8 @@
 from returns.result import Failure
 
 from cardamomtack.configuration.document import parse_configuration
-from cardamomtack.platform.log_service import LogUnavailableError
-from cardamomtack.platform.vm_list import VmListUnavailableError
+from cardamomtack.services.log_service import LogUnavailableError
+from cardamomtack.services.vm_list import VmListUnavailableError
 from cardamomtack_operator.actions import (
     async_counts,
     async_diff,
--- a/packages/cardamomtack_operator/src/cardamomtack_operator/fleet.py
+++ b/packages/cardamomtack_operator/src/cardamomtack_operator/fleet.py
@@ -11,11 +11,11 @@
 from cardamomtack.accounts.const import COUNTS_STREAM
 from cardamomtack.configuration.const import CONFIGURATION_STREAM
 from cardamomtack.configuration.coordinator import ConfigurationCoordinator
-from cardamomtack.generated.platform import VirtualMachine
 from cardamomtack.generated.records import CountsRecord, LogRecord
+from cardamomtack.generated.services import VirtualMachine
 from cardamomtack.generated.status import DaemonStatus
-from cardamomtack.platform.log_service import HttpLogService
-from cardamomtack.platform.vm_list import HttpVmList
+from cardamomtack.services.log_service import HttpLogService
+from cardamomtack.services.vm_list import HttpVmList
 from cardamomtack_operator.const import READ_LIMIT, STATUS_TIMEOUT_S
 
 ROLE_ENTRY = "entry"
--- a/packages/cardamomtack_operator/src/cardamomtack_operator/publication.py
+++ b/packages/cardamomtack_operator/src/cardamomtack_operator/publication.py
@@ -12,7 +12,7 @@
 from cardamomtack.configuration.coordinator import ConfigurationCoordinator
 from cardamomtack.configuration.fold import PublishVerdict, Verdict
 from cardamomtack.generated.records import LogRecord, PublishRecord
-from cardamomtack.platform.log_service import AppendUnknownError, LogUnavailableError
+from cardamomtack.services.log_service import AppendUnknownError, LogUnavailableError
 from cardamomtack_operator.const import (
     IN_FORCE_TIMEOUT_S,
     POLL_S,
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/__main__.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/__main__.py
@@ -11,7 +11,7 @@
 from fire import Fire
 from msgspec import json
 
-from cardamomtack.generated.platform import VirtualMachine
+from cardamomtack.generated.services import VirtualMachine
 from cardamomtack_standins.asgi import async_serve_service
 from cardamomtack_standins.backends import BackendSpec, async_serve_backends
 from cardamomtack_standins.log_service import LogServiceStandIn
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/backend.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/backend.py
@@ -23,7 +23,7 @@
 from httptools import HttpParserError, HttpRequestParser
 from msgspec import Struct, field, json
 
-from cardamomtack.generated.platform import Health
+from cardamomtack.generated.services import Health
 from cardamomtack.helpers.clock import MS_PER_S
 
 CRASH_MARK = b"crash-server"
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/bench/slopes.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/bench/slopes.py
@@ -22,13 +22,13 @@
     PeerMessage,
     ServerLoad,
 )
-from cardamomtack.generated.platform import VirtualMachine
 from cardamomtack.generated.records import (
     Claim,
     ClaimsRecord,
     LogRecord,
     PublishRecord,
 )
+from cardamomtack.generated.services import VirtualMachine
 from cardamomtack.helpers.clock import SystemClock
 from cardamomtack.util.digests import rank_members
 from cardamomtack_standins.plan import (
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/fleet.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/fleet.py
@@ -17,7 +17,7 @@
 import httpx
 from msgspec import json
 
-from cardamomtack.generated.platform import VirtualMachine
+from cardamomtack.generated.services import VirtualMachine
 from cardamomtack.generated.settings import DaemonSettings
 from cardamomtack.generated.status import DaemonStatus
 from cardamomtack_standins.backend import BackendBehaviour
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/vm_list.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/vm_list.py
@@ -4,7 +4,7 @@
 
 from msgspec import json
 
-from cardamomtack.generated.platform import VirtualMachine
+from cardamomtack.generated.services import VirtualMachine
 from cardamomtack_standins.asgi import ServiceReply, ServiceRequest
 
 
--- a/tests/cardamomtack/balancing/test_chooser.py
+++ b/tests/cardamomtack/balancing/test_chooser.py
@@ -10,7 +10,7 @@
 from cardamomtack.balancing.const import EJECTION_FAILURES, LOAD_DECAY_S, RAMP_S
 from cardamomtack.balancing.directory import ServerDirectory
 from cardamomtack.balancing.metrics_header import parse_load_metrics
-from cardamomtack.generated.platform import Health, VirtualMachine
+from cardamomtack.generated.services import Health, VirtualMachine
 from cardamomtack.helpers.clock import ManualClock
 
 CHOICES = 2000
--- a/tests/cardamomtack/platform/test_services.py
+++ b/tests/cardamomtack/services/test_services.py
@@ -9,13 +9,13 @@
 import anyio
 from httpx import AsyncClient
 
-from cardamomtack.generated.platform import VirtualMachine
-from cardamomtack.platform.log_service import (
+from cardamomtack.generated.services import VirtualMachine
+from cardamomtack.services.log_service import (
     AppendUnknownError,
     HttpLogService,
     LogUnavailableError,
 )
-from cardamomtack.platform.vm_list import HttpVmList, VmListUnavailableError
+from cardamomtack.services.vm_list import HttpVmList, VmListUnavailableError
 from cardamomtack_standins.asgi import Service, async_serve_service
 from cardamomtack_standins.fleet import find_free_ports
 from cardamomtack_standins.log_service import LogFaults, LogServiceStandIn
--- /dev/null
+++ b/tests/cardamomtack_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cardamomtack_platform."""
