--- a/packages/cardamomtack/src/cardamomtack/discovery/registry.py
+++ b/packages/cardamomtack/src/cardamomtack/discovery/registry.py
@@ -92,15 +92,6 @@
             return
         self._remove(server)
 
-    def replace_entries(self, entries: list[ServerEntry]) -> None:
-        """Take all entries at once; what they don't name has vanished."""
-        named = {entry.server_id for entry in entries}
-        for server_id in [one for one in self.servers if one not in named]:
-            self.remove_entry(server_id)
-        for entry in entries:
-            self.apply_entry(entry)
-        self.is_known = True
-
     def drop_lapsed(self) -> None:
         """Remove the servers whose entries have not come back."""
         now_s = self._clock.read_monotonic_s()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -255,7 +255,7 @@
     async def async_serve(self, stopping: Event) -> None:
         """Serve until an event asks for a graceful shutdown and it is done."""
         async with create_task_group() as tasks:
-            self._start_tasks(tasks)
+            await self._async_start_tasks(tasks)
             gc.collect()
             gc.freeze()
             gc.set_threshold(GC_THRESHOLD)
@@ -271,13 +271,16 @@
         self._forwarder.settings = settings
         self._share_budgets()
 
-    def _start_tasks(self, tasks: TaskGroup) -> None:
+    async def _async_start_tasks(self, tasks: TaskGroup) -> None:
         """Start all tasks."""
         settings = self._settings
         for reader in self._readers:
             tasks.start_soon(reader.async_follow)
+        # Other VMs hear of this one when it can already be reached.
+        await tasks.start(
+            self._relay.async_serve, settings.address, settings.relay_port
+        )
         tasks.start_soon(self._membership.async_join)
-        tasks.start_soon(self._relay.async_serve, settings.address, settings.relay_port)
         tasks.start_soon(self._relay.async_hear)
         tasks.start_soon(
             self._readiness.async_serve, settings.address, settings.ready_port
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from anyio import (
+    TASK_STATUS_IGNORED,
     BrokenResourceError,
     ClosedResourceError,
     EndOfStream,
@@ -17,7 +18,7 @@
     move_on_after,
     sleep,
 )
-from anyio.abc import SocketStream
+from anyio.abc import SocketStream, TaskStatus
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 from loguru import logger
 
@@ -50,7 +51,7 @@
     SUBSCRIBE_TIMEOUT_S,
 )
 
-NOTICES_KEPT = 2000
+NOTICES_KEPT = 200
 
 STREAM_ERRORS = (
     BrokenResourceError,
@@ -106,7 +107,7 @@
         self._apply_crash = apply_crash
         self._clock = clock
         self._members = members
-        self._notices: OrderedDict[str, None] = OrderedDict()
+        self._notices: OrderedDict[str, CrashNotice] = OrderedDict()
         self._replicas = {replica.topic: replica for replica in replicas}
         self._subscribers: set[Outbox] = set()
         self._upstream: Outbox | None = None
@@ -136,10 +137,17 @@
         )
         self._spread(RelayMessage(members=Members([leaving])), None)
 
-    async def async_serve(self, address: str, port: int) -> None:
-        """Serve subscribers until cancelled."""
+    async def async_serve(
+        self,
+        address: str,
+        port: int,
+        *,
+        task_status: TaskStatus[None] = TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve subscribers until cancelled; started once it listens."""
         listener = await create_tcp_listener(local_host=address, local_port=port)
         async with listener, create_task_group() as tasks:
+            task_status.started()
             tasks.start_soon(self._async_tell_freshness)
             await listener.serve(self._async_serve_subscriber)
 
@@ -177,6 +185,7 @@
                 tasks.start_soon(_async_write, queue, messages)
                 self._upstream = outbox
                 outbox.send_nowait(encode_frame(self._write_subscription()))
+                self._send_notices(outbox)
                 await self._async_take_messages(messages, outbox, upstream)
                 tasks.cancel_scope.cancel()
         except* STREAM_ERRORS as group:
@@ -245,6 +254,7 @@
             if replica.end > known.get(topic, END_UNKNOWN):
                 message = RelayMessage(records=replica.write_newest())
                 outbox.send_nowait(encode_frame(message))
+        self._send_notices(outbox)
         self._subscribers.add(outbox)
         outbox.send_nowait(encode_frame(self._write_freshness()))
         self._take_members([subscribe.member], outbox)
@@ -286,12 +296,17 @@
         """Take the notice of a crash and pass it on, once."""
         if notice.notice_id in self._notices:
             return
-        self._notices[notice.notice_id] = None
+        self._notices[notice.notice_id] = notice
         if len(self._notices) > NOTICES_KEPT:
             self._notices.popitem(last=False)
         self._apply_crash(notice)
         self._spread(RelayMessage(crash=notice), source)
 
+    def _send_notices(self, outbox: Outbox) -> None:
+        """Tell another VM of the crashes that it may have missed."""
+        for notice in self._notices.values():
+            outbox.send_nowait(encode_frame(RelayMessage(crash=notice)))
+
     def _spread(self, message: RelayMessage, source: Outbox | None) -> None:
         """Send a message on all streams but the one on which it came."""
         frame = encode_frame(message)
--- /dev/null
+++ b/tests/cardamomtack/discovery/test_registry.py
@@ -0,0 +1,103 @@
+"""Servers that come, drain, vanish and come back."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from cardamomtack.discovery.const import HOLD_LAPSED_S
+from cardamomtack.discovery.entry import ServerEntry
+from cardamomtack.discovery.registry import ServerRegistry
+from cardamomtack.helpers.clock import ManualClock
+
+ENTRY = ServerEntry("s-1", "desk", "10.0.0.1", 80, "zone-a", 4, False, 0.0, 1)
+
+
+class RegistryTest(unittest.TestCase):
+    """Which servers may get work."""
+
+    def setUp(self):
+        self.clock = ManualClock(100.0)
+        self.registry = ServerRegistry(self.clock)
+        self.gone = []
+        self.registry.add_listener(lambda server: self.gone.append(server.vm_id))
+
+    def list_usable(self, service="desk"):
+        """Return the ids of the servers that may get work."""
+        now_s = self.clock.read_monotonic_s()
+        members = self.registry.find_service(service).members
+        return sorted(one.vm_id for one in members if one.is_usable(now_s))
+
+    def test_new_draining_and_gone(self):
+        self.registry.apply_entry(ENTRY)
+        self.assertEqual(self.list_usable(), ["s-1"])
+        self.registry.apply_entry(replace(ENTRY, is_draining=True))
+        self.assertEqual(self.list_usable(), [])
+        self.registry.remove_entry("s-1")
+        self.assertEqual(self.registry.servers, {})
+        self.assertEqual(self.gone, ["s-1"])
+
+    def test_older_incarnation_changes_nothing(self):
+        self.registry.apply_entry(replace(ENTRY, incarnation=5))
+        self.registry.apply_entry(replace(ENTRY, incarnation=4, is_draining=True))
+        self.assertEqual(self.list_usable(), ["s-1"])
+
+    def test_newer_incarnation_starts_anew(self):
+        self.registry.apply_entry(ENTRY)
+        known = self.registry.servers["s-1"]
+        known.record_unreachable(100.0)
+        self.registry.apply_entry(replace(ENTRY, incarnation=2, port=81))
+        self.assertTrue(known.is_gone)
+        self.assertEqual(self.list_usable(), ["s-1"])
+        self.assertEqual(self.registry.servers["s-1"].port, 81)
+
+    def test_address_that_goes_to_another_service(self):
+        self.registry.apply_entry(ENTRY)
+        self.registry.remove_entry("s-1")
+        self.registry.apply_entry(replace(ENTRY, server_id="s-2", service="line"))
+        self.assertEqual(self.list_usable("desk"), [])
+        self.assertEqual(self.list_usable("line"), ["s-2"])
+
+    def test_entry_that_lapses_with_its_source_is_held(self):
+        self.registry.apply_entry(ENTRY)
+        self.registry.note_source_trouble()
+        self.clock.advance(1.0)
+        self.registry.remove_entry("s-1")
+        self.registry.drop_lapsed()
+        self.assertEqual(self.list_usable(), ["s-1"])
+        self.clock.advance(HOLD_LAPSED_S + 0.1)
+        self.registry.drop_lapsed()
+        self.assertEqual(self.list_usable(), [])
+
+    def test_held_entry_that_comes_back_stays(self):
+        self.registry.apply_entry(ENTRY)
+        self.registry.note_source_trouble()
+        self.registry.remove_entry("s-1")
+        self.registry.apply_entry(ENTRY)
+        self.clock.advance(HOLD_LAPSED_S + 0.1)
+        self.registry.drop_lapsed()
+        self.assertEqual(self.list_usable(), ["s-1"])
+
+    def test_draining_entry_is_not_held(self):
+        self.registry.apply_entry(replace(ENTRY, is_draining=True))
+        self.registry.note_source_trouble()
+        self.registry.remove_entry("s-1")
+        self.assertEqual(self.registry.servers, {})
+
+    def test_held_server_that_starts_again_elsewhere_is_replaced(self):
+        self.registry.apply_entry(ENTRY)
+        self.registry.note_source_trouble()
+        self.registry.remove_entry("s-1")
+        self.registry.apply_entry(replace(ENTRY, incarnation=2, port=81))
+        self.clock.advance(HOLD_LAPSED_S + 0.1)
+        self.registry.drop_lapsed()
+        self.assertEqual(self.registry.servers["s-1"].port, 81)
+
+    def test_removing_an_unknown_server_does_nothing(self):
+        self.registry.remove_entry("nobody")
+        self.registry.drop_lapsed()
+        self.assertEqual(self.gone, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/cardamomtack/replicas/test_members.py
@@ -0,0 +1,129 @@
+"""Who reads the store for whom."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+
+from cardamomtack.generated.relay import Member
+from cardamomtack.replicas.members import MemberTable
+
+
+def make_member(number, zone="zone-0", incarnation="1", is_leaving=False):
+    """Return a VM."""
+    return Member(
+        f"vm-{number:03}", incarnation, zone, f"10.0.0.{number}", 7000, is_leaving
+    )
+
+
+def make_tables(count, zones=4):
+    """Return the tables of VMs that all know one another."""
+    members = [make_member(one, f"zone-{one % zones}") for one in range(count)]
+    tables = []
+    for own in members:
+        table = MemberTable(own)
+        for member in members:
+            table.add_member(member)
+        tables.append(table)
+    return tables
+
+
+class ReadersTest(unittest.TestCase):
+    """The choice of readers and of the VM to hear from."""
+
+    def test_all_vms_agree_and_the_readers_stand_in_different_zones(self):
+        for count, wanted in ((1, 1), (2, 2), (13, 2), (24, 2), (25, 3), (121, 11)):
+            with self.subTest(count):
+                tables = make_tables(count)
+                choices = {
+                    tuple(one.vm_id for one in table.choose_readers(0.0))
+                    for table in tables
+                }
+                self.assertEqual(len(choices), 1)
+                readers = tables[0].choose_readers(0.0)
+                self.assertEqual(len(readers), wanted)
+                zones = {one.availability_zone for one in readers}
+                self.assertEqual(len(zones), min(4, count, wanted))
+
+    def test_everybody_hears_from_a_reader_and_readers_from_the_root(self):
+        tables = make_tables(121)
+        readers = tables[0].choose_readers(0.0)
+        reader_ids = {one.vm_id for one in readers}
+        load = dict.fromkeys(reader_ids, 0)
+        for table in tables:
+            upstream = table.choose_upstream(0.0)
+            if table.own.vm_id == readers[0].vm_id:
+                self.assertIsNone(upstream)
+            elif table.own.vm_id in reader_ids:
+                self.assertEqual(upstream.vm_id, readers[0].vm_id)
+            else:
+                self.assertEqual(
+                    upstream.availability_zone, table.own.availability_zone
+                )
+                load[upstream.vm_id] += 1
+        self.assertLessEqual(max(load.values()), 40)
+
+    def test_silent_reader_is_passed_over_and_tried_again(self):
+        table = make_tables(5)[4]
+        first = table.choose_readers(0.0)[0]
+        table.note_dead(first.vm_id, 0.0)
+        self.assertNotIn(first, table.choose_readers(0.5))
+        self.assertIn(first, table.choose_readers(100.0))
+
+    def test_pauses_grow_and_end_with_a_sign_of_life(self):
+        table = make_tables(3)[2]
+        ends_s = []
+        now_s = 0.0
+        for _ in range(10):
+            table.note_dead("vm-000", now_s)
+            self.assertFalse(table.is_alive("vm-000", now_s))
+            while not table.is_alive("vm-000", now_s):
+                now_s += 0.5
+            ends_s.append(now_s)
+        pauses_s = [b - a for a, b in itertools.pairwise(ends_s)]
+        self.assertEqual(pauses_s, sorted(pauses_s))
+        self.assertLessEqual(max(pauses_s), 60.0)
+        table.note_dead("vm-000", now_s)
+        table.note_alive("vm-000")
+        self.assertTrue(table.is_alive("vm-000", now_s))
+
+    def test_vm_that_the_store_does_not_answer_leaves_reading_to_others(self):
+        table = make_tables(5)[0]
+        self.assertTrue(table.is_reader(0.0))
+        table.note_dead(table.own.vm_id, 0.0)
+        self.assertFalse(table.is_reader(0.0))
+        self.assertIsNotNone(table.choose_upstream(0.0))
+
+    def test_everybody_may_read_when_all_are_passed_over(self):
+        table = make_tables(3)[1]
+        for number in range(3):
+            table.note_dead(f"vm-{number:03}", 0.0)
+        self.assertEqual(len(table.choose_readers(0.0)), 2)
+
+
+class NewsTest(unittest.TestCase):
+    """News of VMs that come, go and start again."""
+
+    def setUp(self):
+        self.table = MemberTable(make_member(0))
+
+    def test_news_are_new_once(self):
+        self.assertTrue(self.table.add_member(make_member(1)))
+        self.assertFalse(self.table.add_member(make_member(1)))
+        self.assertFalse(self.table.add_member(make_member(0)))
+        self.assertEqual(self.table.count, 2)
+
+    def test_vm_that_left_does_not_come_back_by_old_news(self):
+        self.table.add_member(make_member(1))
+        self.assertTrue(self.table.add_member(make_member(1, is_leaving=True)))
+        self.assertFalse(self.table.add_member(make_member(1)))
+        self.assertEqual(self.table.count, 1)
+
+    def test_late_news_of_leaving_does_not_touch_the_next_run(self):
+        self.table.add_member(make_member(1, incarnation="2"))
+        self.table.add_member(make_member(1, incarnation="1", is_leaving=True))
+        self.assertEqual(self.table.count, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
