Let servers rest that do not answer a health check in time

Cause: a question to a silent server was cancelled after 30 ms without a trace, so it was asked again by every request (SilenceTest failed first).

--- a/packages/cardamomtack/src/cardamomtack/placing/const.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/const.py
@@ -14,6 +14,7 @@
 RETRY_BUDGET_SHARE: Final = 0.7
 """Part of the retry budget that is spent, for VMs that are not known yet."""
 
+SILENCE_REST_S: Final = 0.25
 SPEED_HOLD_S: Final = 0.3
 WARM_UP_COST_FACTOR: Final = 1.0
 WORK_GAIN: Final = 0.1
--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -11,6 +11,7 @@
     EJECTION_S_MIN,
     FAILURE_GAIN,
     FAILURE_HALF_LIFE_S,
+    SILENCE_REST_S,
 )
 
 SLOWNESS_USUAL = 1.0
@@ -56,6 +57,7 @@
         "_failed_in_row",
         "_failure_at_s",
         "_failure_share",
+        "_silences",
         "_warm_at_s",
         "ejected_until_s",
         "entry",
@@ -70,6 +72,7 @@
         self._failed_in_row = 0
         self._failure_at_s = now_s
         self._failure_share = 0.0
+        self._silences = 0
         self._warm_at_s = now_s + entry.warm_up_left_s
         self.ejected_until_s = 0.0
         self.entry = entry
@@ -124,6 +127,7 @@
         self.report = report
         self.reported_at_s = now_s
         self.sent_since_report = 0
+        self._silences = 0
 
     def record_send(self) -> None:
         """Count a request that is being sent."""
@@ -149,6 +153,15 @@
             pause_s = min(EJECTION_S_MAX, EJECTION_S_MIN * 2.0**beyond)
             self.ejected_until_s = now_s + pause_s
 
+    def record_silence(self, now_s: float) -> None:
+        """Note that a question got no answer in time; the server rests a little.
+
+        The rest grows while it stays silent, and ends with its next report.
+        """
+        rest_s = min(EJECTION_S_MAX, SILENCE_REST_S * 2.0**self._silences)
+        self._silences += 1
+        self.ejected_until_s = max(self.ejected_until_s, now_s + rest_s)
+
     def record_unreachable(self, now_s: float) -> None:
         """Note that no connection could be opened; the server rests at once."""
         self._failed_in_row = max(self._failed_in_row + 1, EJECTION_FAILURES)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/asking.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/asking.py
@@ -76,16 +76,15 @@
             return asked
         first = Event()
         last = Event()
-        missing = len(servers)
+        missing = list(servers)
 
         async def ask(server: ServerView) -> None:
-            nonlocal missing
             connection = await self._async_ask_server(service, server)
-            missing -= 1
+            missing.remove(server)
             if connection is not None:
                 asked.append(AskedServer(server, connection))
                 first.set()
-            if missing == 0:
+            if not missing:
                 first.set()
                 last.set()
 
@@ -98,6 +97,8 @@
                 with move_on_after(ASK_TIMEOUT_S_MAX):
                     await first.wait()
             tasks.cancel_scope.cancel()
+        for server in missing:
+            server.record_silence(self._clock.read_monotonic_s())
         return asked
 
     @property
--- a/tests/cardamomtack_daemon/forwarding/case.py
+++ b/tests/cardamomtack_daemon/forwarding/case.py
@@ -158,6 +158,7 @@
         self.script: Script = async_answer
         self.load: str | None = "0,0,4"
         self.health_status = 200
+        self.answers_checks = True
         self.port = 0
         self.requests: list[ServerRequest] = []
         self.ran: list[str] = []
@@ -215,6 +216,8 @@
             await self.script(self, request, stream)
             return
         self.checks += 1
+        if not self.answers_checks:
+            await anyio.sleep_forever()
         load = f"test-load: {self.load}\r\n" if self.load is not None else ""
         head = f"HTTP/1.1 {self.health_status} X\r\ntest-server: {self.server_id}\r\n"
         await stream.send(f"{head}{load}content-length: 0\r\n\r\n".encode())
--- a/tests/cardamomtack_daemon/forwarding/test_life.py
+++ b/tests/cardamomtack_daemon/forwarding/test_life.py
@@ -5,6 +5,7 @@
 import anyio
 
 from cardamomtack.routing.policy import Repeatability
+from cardamomtack_daemon.forwarding.const import ASK_TIMEOUT_S
 from tests.cardamomtack_daemon.forwarding.case import (
     EntryVm,
     ForwardingCase,
@@ -268,3 +269,23 @@
             self.assertEqual(len(crashed), 2)
 
         self.play(scenario, servers=5)
+
+
+class SilenceTest(ForwardingCase):
+    """Servers that accept connections and never answer."""
+
+    def test_silent_server_delays_few_requests(self):
+        async def scenario(vm, servers):
+            async def hang(server, request, stream):
+                await anyio.sleep_forever()
+
+            servers[0].answers_checks = False
+            servers[0].script = hang
+            slow = 0
+            for number in range(20):
+                answer = await vm.async_call("read", f"r-{number}")
+                self.assertEqual(answer.status, 200)
+                slow += answer.duration_s > ASK_TIMEOUT_S
+            self.assertLessEqual(slow, 4)
+
+        self.play(scenario, servers=3)
