Count the objective from a caller's first send; model the services served

Cause: after an outage or refusals the crowd that comes back looked new and took the room of requests that could still be answered within their objective. Now the time that is missing from the deadline with which callers of a route start counts as waited.

--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -196,3 +196,12 @@
         self.name = name
         self.members: list[ServerView] = []
         self.tells_load: bool | None = None
+
+
+def is_past_room(server: ServerView) -> bool:
+    """Return whether a request would wait for a slot of a server."""
+    report = server.report
+    if report is None:
+        return False
+    ahead = report.running + report.waiting + server.sent_since_report
+    return ahead >= report.slots
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
@@ -25,8 +25,9 @@
     ----------
     service : str
         The service that the split of the route has dealt.
-    arrived_s, deadline_s : float
-        Monotonic times, in seconds.
+    arrived_s, deadline_s, objective_s : float
+        Monotonic times of its arrival, of its deadline, and by which an answer is
+        within the latency objective, in seconds.
     digest : bytes
         Digest of host, method, target and body.
     tried : set of str
@@ -42,6 +43,7 @@
     request_id: bytes
     arrived_s: float
     deadline_s: float
+    objective_s: float
     digest: bytes
     tried: set[str] = field(default_factory=set)
     sends: int = 0
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -10,6 +10,7 @@
 from cardamomtack.placing.admission import choose_retry_after_s
 from cardamomtack.placing.budget import RetryBudget
 from cardamomtack.placing.chooser import estimate_share
+from cardamomtack.placing.patience import CallerPatience
 from cardamomtack.quarantine.ledger import CrashLedger
 from cardamomtack.routing.table import PrefixRoutes
 from cardamomtack.util.digests import digest_parts
@@ -77,6 +78,7 @@
         "_clock",
         "_ledger",
         "_names",
+        "_patience",
         "_placer",
         "_random",
         "_routes",
@@ -102,6 +104,7 @@
         self._clock = clock
         self._ledger = ledger
         self._names = names
+        self._patience = CallerPatience()
         self._placer = placer
         self._random = random
         self._routes = routes
@@ -139,9 +142,12 @@
             return write_problem(400, "request has no id", OUTCOME_NOT_RUN), None
         now_s = self._clock.read_monotonic_s()
         wait_s = route.timeout_s
+        waited_s = 0.0
         deadline_ms = request.find_header(self._names.deadline_ms)
         if deadline_ms is not None and deadline_ms.isdigit():
-            wait_s = min(wait_s, int(deadline_ms) / MS_PER_S)
+            caller_s = int(deadline_ms) / MS_PER_S
+            wait_s = min(wait_s, caller_s)
+            waited_s = self._patience.estimate_waited_s(route.name, caller_s)
         digest = digest_parts(host, request.method, request.target, request.body)
         call = ForwardedCall(
             request,
@@ -151,6 +157,7 @@
             request_id,
             now_s,
             now_s + wait_s,
+            now_s + route.objective_s - waited_s,
             digest,
         )
         if self._ledger.is_quarantined(digest):
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -6,7 +6,7 @@
 from cardamomtack.helpers.clock import Clock
 from cardamomtack.placing.admission import PlacementTimes, is_worth_placing
 from cardamomtack.placing.chooser import PlacementChooser, WorkEstimates
-from cardamomtack.placing.server import ServerView, ServiceView
+from cardamomtack.placing.server import ServiceView, is_past_room
 from cardamomtack_daemon.forwarding.asking import AskedServer, ServerAsker
 from cardamomtack_daemon.forwarding.call import ForwardedCall
 from cardamomtack_daemon.forwarding.const import OWN_ZONE_OBJECTIVE_SHARE
@@ -108,7 +108,7 @@
         """Return whether no other zone needs to be asked."""
         now_s = self._clock.read_monotonic_s()
         estimate_s = self._chooser.estimate_s(best.server, work_s, now_s)
-        objective_left_s = call.arrived_s + call.route.objective_s - now_s
+        objective_left_s = call.objective_s - now_s
         return estimate_s <= OWN_ZONE_OBJECTIVE_SHARE * objective_left_s
 
     def _is_worth_it(
@@ -118,10 +118,10 @@
         now_s = self._clock.read_monotonic_s()
         times = PlacementTimes(
             self._chooser.estimate_s(best.server, work_s, now_s),
-            call.arrived_s + call.route.objective_s - now_s,
+            call.objective_s - now_s,
             call.deadline_s - now_s,
         )
-        return is_worth_placing(times, call.route.priority, _is_full(best.server))
+        return is_worth_placing(times, call.route.priority, is_past_room(best.server))
 
     async def _async_place_unasked(
         self, service: ServiceView, call: ForwardedCall
@@ -151,12 +151,3 @@
                 return AskedServer(server, connection)
             self._pool.discard(connection)
         return None
-
-
-def _is_full(server: ServerView) -> bool:
-    """Return whether a request would wait for a slot of a server."""
-    report = server.report
-    if report is None:
-        return False
-    ahead = report.running + report.waiting + server.sent_since_report
-    return ahead >= report.slots
--- /dev/null
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/load.py
@@ -0,0 +1,98 @@
+"""Loads that are played: kinds of requests, their rates and their callers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from math import exp
+from random import Random
+
+
+@dataclass(slots=True, frozen=True)
+class KindLoad:
+    """One kind of request.
+
+    Attributes
+    ----------
+    work_s : float
+        Mean work on an idle server, in seconds.
+    objective_s, deadline_s : float
+        Latency objective, and how long callers wait, in seconds.
+    credit, late_credit : float
+        What an answer is worth within the objective, and later.
+    """
+
+    name: str
+    requests_per_s: float
+    work_s: float
+    objective_s: float
+    deadline_s: float
+    priority: int
+    credit: float = 1.0
+    late_credit: float = 0.1
+    spread: float = 0.3
+
+
+@dataclass(slots=True, frozen=True)
+class LoadPlan:
+    """What arrives over a time.
+
+    Attributes
+    ----------
+    bursts : tuple of (float, float, float)
+        Start, end and factor of times with more requests, in seconds.
+    """
+
+    kinds: tuple[KindLoad, ...]
+    length_s: float
+    bursts: tuple[tuple[float, float, float], ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """One request of a caller; its work is known to the model alone."""
+
+    at_s: float
+    kind: KindLoad
+    work_s: float
+
+
+def plan_desk(
+    length_s: float = 20.0, bursts: tuple[tuple[float, float, float], ...] = ()
+) -> LoadPlan:
+    """Return the load of the users' first service, for 14 servers of 6 slots."""
+    lookup = KindLoad("lookup", 53.0, 0.22, 0.6, 1.5, 2)
+    booking = KindLoad("booking", 24.0, 0.29, 0.8, 2.0, 1, 2.0, 0.2)
+    return LoadPlan((lookup, booking), length_s, bursts)
+
+
+def list_arrivals(plan: LoadPlan, random: Random) -> Iterator[Arrival]:
+    """Return the requests of a plan in the order in which they arrive."""
+    arrivals: list[Arrival] = []
+    for kind in plan.kinds:
+        now_s = 0.0
+        peak = max((factor for _, _, factor in plan.bursts), default=1.0)
+        rate = kind.requests_per_s * max(1.0, peak)
+        while True:
+            now_s += random.expovariate(rate)
+            if now_s >= plan.length_s:
+                break
+            factor = _find_factor(plan, now_s)
+            if random.random() < factor / max(1.0, peak):
+                spread = exp(random.gauss(-(kind.spread**2) / 2, kind.spread))
+                arrivals.append(Arrival(now_s, kind, kind.work_s * spread))
+    return iter(sorted(arrivals, key=lambda one: one.at_s))
+
+
+def estimate_use(plan: LoadPlan, slots: int, slowness: float) -> float:
+    """Return the share of the slots that a plan needs outside of its bursts."""
+    work_s = sum(kind.requests_per_s * kind.work_s for kind in plan.kinds)
+    return work_s * slowness / slots
+
+
+def _find_factor(plan: LoadPlan, now_s: float) -> float:
+    """Return how many times as many requests as usual arrive."""
+    for start_s, end_s, factor in plan.bursts:
+        if start_s <= now_s < end_s:
+            return factor
+    return 1.0
--- /dev/null
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/play.py
@@ -0,0 +1,225 @@
+"""Plays a load to a policy and counts what callers get."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from cardamomtack_standins.model.load import (
+    Arrival,
+    KindLoad,
+    LoadPlan,
+    list_arrivals,
+)
+from cardamomtack_standins.model.policies import Policy
+from cardamomtack_standins.model.server import Job, ModelServer, ServerTraits
+
+SENDS_MAX = 2
+"""How often a caller sends a request that is refused."""
+
+
+@dataclass(slots=True)
+class KindOutcome:
+    """What the callers of one kind got."""
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    latencies_s: list[float] = field(default_factory=list)
+
+    @property
+    def in_time_share(self) -> float:
+        """Return the share of requests that were answered within the objective."""
+        return self.in_time / max(1, self.asked)
+
+    @property
+    def served_share(self) -> float:
+        """Return the share of requests that were answered at all."""
+        return (self.in_time + self.late) / max(1, self.asked)
+
+
+@dataclass(slots=True)
+class PlayOutcome:
+    """What all callers got."""
+
+    kinds: dict[str, KindOutcome] = field(default_factory=dict)
+    credit: float = 0.0
+    credit_owed: float = 0.0
+
+    @property
+    def credit_share(self) -> float:
+        """Return the credit that was earned, as a share of what was owed."""
+        return self.credit / max(1e-9, self.credit_owed)
+
+
+@dataclass(slots=True, frozen=True)
+class FleetShape:
+    """The VMs and servers of a play."""
+
+    vms: int = 13
+    servers: int = 14
+    zones: int = 4
+    traits: ServerTraits = ServerTraits(slots=6, queue_max=12)  # noqa: RUF009
+
+
+PolicyMaker = Callable[[list[ModelServer], Random, str], Policy]
+
+
+@dataclass(slots=True)
+class _Request:
+    """A request on its way; ``sends`` counts how often its caller has sent it."""
+
+    number: int
+    arrival: Arrival
+    vm: int
+    sends: int = 0
+    server: int = -1
+    sent_at_s: float = 0.0
+    is_counted: bool = True
+
+
+class LoadPlay:
+    """One play of a load; the same seed gives the same play.
+
+    Parameters
+    ----------
+    plan : LoadPlan
+        What arrives.
+    shape : FleetShape
+        VMs and servers.
+    make_policy : callable
+        Makes the policy of a VM of a zone.
+    seed : int
+        Source of all chance.
+    """
+
+    def __init__(
+        self, plan: LoadPlan, shape: FleetShape, make_policy: PolicyMaker, seed: int
+    ) -> None:
+        random = Random(seed)
+        self._events: list[tuple[float, int, Callable[[float], None]]] = []
+        self._numbers = count()
+        self._outcome = PlayOutcome()
+        self._requests: list[_Request] = []
+        self._versions = [0] * shape.servers
+        self.servers = [
+            ModelServer(
+                str(index),
+                f"zone-{index % shape.zones}",
+                shape.traits,
+                Random(random.random()),
+            )
+            for index in range(shape.servers)
+        ]
+        self._policies = [
+            make_policy(
+                self.servers, Random(random.random()), f"zone-{index % shape.zones}"
+            )
+            for index in range(shape.vms)
+        ]
+        self._plan = plan
+        for arrival in list_arrivals(plan, Random(random.random())):
+            vm = random.randrange(shape.vms)
+            self._requests.append(_Request(len(self._requests), arrival, vm))
+        for server in range(shape.servers):
+            start_s = random.random() * shape.traits.noise_s
+            self._push(start_s, partial(self._shift, server))
+
+    def run(self, counted_from_s: float = 0.0) -> PlayOutcome:
+        """Play until all requests have ended and return what callers got.
+
+        Parameters
+        ----------
+        counted_from_s : float
+            Arrival from which requests count, in seconds.
+        """
+        for request in self._requests:
+            kind = request.arrival.kind
+            self._push(request.arrival.at_s, partial(self._send, request))
+            request.is_counted = request.arrival.at_s >= counted_from_s
+            if not request.is_counted:
+                continue
+            outcome = self._outcome.kinds.setdefault(kind.name, KindOutcome())
+            outcome.asked += 1
+            self._outcome.credit_owed += kind.credit
+        while self._events:
+            now_s, _, act = heappop(self._events)
+            act(now_s)
+        return self._outcome
+
+    def _push(self, at_s: float, act: Callable[[float], None]) -> None:
+        """Have something happen at a time."""
+        heappush(self._events, (at_s, next(self._numbers), act))
+
+    def _shift(self, server: int, now_s: float) -> None:
+        """Shift the speed of a server, again and again while load arrives."""
+        self.servers[server].shift_speed(now_s)
+        self._plan_finish(server)
+        if now_s < self._plan.length_s + 10.0:
+            next_s = now_s + self.servers[server].traits.noise_s
+            self._push(next_s, partial(self._shift, server))
+
+    def _send(self, request: _Request, now_s: float) -> None:
+        """Let the policy of a VM place a request."""
+        arrival = request.arrival
+        request.sends += 1
+        policy = self._policies[request.vm]
+        deadline_s = arrival.at_s + arrival.kind.deadline_s
+        placed = policy.place(arrival.kind, now_s, deadline_s, now_s)
+        if isinstance(placed, float):
+            self._refuse(request, now_s + placed, deadline_s)
+            return
+        policy.note_send(placed)
+        request.server = placed
+        request.sent_at_s = now_s
+        job = Job(request.number, arrival.work_s)
+        if not self.servers[placed].add_job(job, now_s):
+            policy.note_end(placed, arrival.kind, None)
+            self._refuse(request, now_s, deadline_s)
+            return
+        self._plan_finish(placed)
+
+    def _refuse(self, request: _Request, back_s: float, deadline_s: float) -> None:
+        """Send a caller back, or count it as refused."""
+        if request.sends < SENDS_MAX and back_s < deadline_s:
+            self._push(back_s, partial(self._send, request))
+            return
+        if request.is_counted:
+            self._outcome.kinds[request.arrival.kind.name].refused += 1
+
+    def _plan_finish(self, server: int) -> None:
+        """Plan the next finish of a server, in place of the one planned before."""
+        self._versions[server] += 1
+        version = self._versions[server]
+        finish_s = self.servers[server].find_finish_s()
+        if finish_s is not None:
+            self._push(finish_s, partial(self._finish, server, version))
+
+    def _finish(self, server: int, version: int, now_s: float) -> None:
+        """Finish a job unless its server has changed since."""
+        if version != self._versions[server]:
+            return
+        job = self.servers[server].finish_job(now_s)
+        self._plan_finish(server)
+        request = self._requests[job.request]
+        kind = request.arrival.kind
+        policy = self._policies[request.vm]
+        policy.note_end(server, kind, now_s - request.sent_at_s)
+        if request.is_counted:
+            self._count(kind, now_s - request.arrival.at_s)
+
+    def _count(self, kind: KindLoad, latency_s: float) -> None:
+        """Count an answer by its time since the first send."""
+        outcome = self._outcome.kinds[kind.name]
+        outcome.latencies_s.append(latency_s)
+        if latency_s <= kind.objective_s:
+            outcome.in_time += 1
+            self._outcome.credit += kind.credit
+        elif latency_s <= kind.deadline_s:
+            outcome.late += 1
+            self._outcome.credit += kind.late_credit
--- /dev/null
+++ b/tests/cardamomtack/placing/test_decisions.py
@@ -0,0 +1,206 @@
+"""Choosing, refusing, budgets and rests, one decision at a time."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from cardamomtack.discovery.entry import ServerEntry
+from cardamomtack.measuring.pacer import CheckPacer
+from cardamomtack.placing.admission import (
+    PlacementTimes,
+    choose_retry_after_s,
+    is_worth_placing,
+)
+from cardamomtack.placing.budget import RetryBudget
+from cardamomtack.placing.chooser import PlacementChooser
+from cardamomtack.placing.server import LoadReport, ServerView, ServiceView
+
+
+def make_server(server_id="s", zone="a", report=None, warm_up_left_s=0.0, slots=6):
+    """Return a server with a report of now."""
+    entry = ServerEntry(
+        server_id, "desk", "10.0.0.1", 80, zone, slots, False, warm_up_left_s, 1
+    )
+    server = ServerView(entry, 0.0)
+    if report is not None:
+        server.record_report(LoadReport(*report), 0.0)
+    return server
+
+
+class ChooserTest(unittest.TestCase):
+    """Which of two servers is taken."""
+
+    def check(self, better, worse):
+        """Check that one server is taken rather than another."""
+        chooser = PlacementChooser(Random(1), "a")
+        for servers in ([better, worse], [worse, better]):
+            self.assertIs(chooser.choose_server(servers, 0.2, 0.0), better)
+
+    def test_speed_of_now(self):
+        self.check(
+            make_server(report=(2, 0, 6, 1.0)), make_server(report=(0, 0, 6, 4.0))
+        )
+
+    def test_free_slot(self):
+        self.check(make_server(report=(3, 0, 6)), make_server(report=(6, 1, 6)))
+
+    def test_shorter_queue(self):
+        self.check(make_server(report=(6, 1, 6)), make_server(report=(6, 4, 6)))
+
+    def test_own_sends_since_the_report(self):
+        busy = make_server(report=(5, 0, 6))
+        for _ in range(3):
+            busy.record_send()
+        self.check(make_server(report=(5, 0, 6)), busy)
+
+    def test_own_zone(self):
+        self.check(
+            make_server(report=(1, 0, 6)), make_server(zone="b", report=(1, 0, 6))
+        )
+
+    def test_warm_server(self):
+        self.check(
+            make_server(report=(1, 0, 6)),
+            make_server(report=(1, 0, 6), warm_up_left_s=3.0),
+        )
+
+    def test_server_without_failures(self):
+        failing = make_server(report=(1, 0, 6))
+        failing.record_failure(0.0)
+        self.check(make_server(report=(2, 0, 6)), failing)
+
+    def test_own_requests_where_no_load_is_told(self):
+        busy = make_server()
+        busy.record_send()
+        self.check(make_server(), busy)
+
+    def test_sample_leaves_out_what_may_not_be_used(self):
+        service = ServiceView("desk")
+        service.members = [make_server(str(number)) for number in range(3)]
+        service.members[0].record_unreachable(0.0)
+        service.members[1].is_gone = True
+        chooser = PlacementChooser(Random(1), "a")
+        sample = chooser.sample_servers(service, set(), True, 0.0)
+        self.assertEqual([one.vm_id for one in sample], ["2"])
+        self.assertEqual(chooser.sample_servers(service, {"2"}, True, 0.0), [])
+
+
+class RestTest(unittest.TestCase):
+    """How long a server rests after failures and silence."""
+
+    def test_three_failures_in_a_row_eject(self):
+        server = make_server()
+        for _ in range(2):
+            server.record_failure(0.0)
+        self.assertTrue(server.is_usable(0.0))
+        server.record_failure(0.0)
+        self.assertFalse(server.is_usable(0.1))
+        self.assertTrue(server.is_usable(10.0))
+
+    def test_success_ends_the_row(self):
+        server = make_server()
+        for _ in range(10):
+            server.record_failure(0.0)
+            server.record_failure(0.0)
+            server.record_success(0.0)
+        self.assertTrue(server.is_usable(0.0))
+
+    def test_silence_rests_longer_each_time_until_a_report(self):
+        server = make_server()
+        server.record_silence(0.0)
+        first_s = server.ejected_until_s
+        server.record_silence(10.0)
+        self.assertGreater(server.ejected_until_s - 10.0, first_s)
+        server.record_report(LoadReport(0, 0, 6), 20.0)
+        server.record_silence(20.0)
+        self.assertAlmostEqual(server.ejected_until_s - 20.0, first_s)
+
+    def test_failures_fade(self):
+        server = make_server()
+        server.record_failure(0.0)
+        now = server.estimate_failure_share(0.0)
+        self.assertLess(server.estimate_failure_share(6.0), now / 3)
+
+
+class AdmissionTest(unittest.TestCase):
+    """What is placed, and when callers come back."""
+
+    def test_what_cannot_be_answered_before_the_deadline_is_refused(self):
+        times = PlacementTimes(2.0, 5.0, 1.9)
+        self.assertFalse(is_worth_placing(times, 0, False))
+
+    def test_free_room_is_used_also_when_the_objective_is_missed(self):
+        times = PlacementTimes(1.0, -1.0, 1.9)
+        self.assertTrue(is_worth_placing(times, 2, False))
+        self.assertFalse(is_worth_placing(times, 2, True))
+
+    def test_less_urgent_kinds_stop_waiting_first(self):
+        verdicts = [
+            [
+                is_worth_placing(PlacementTimes(wait_s, 1.0, 9.0), priority, True)
+                for priority in (0, 1, 2, 7)
+            ]
+            for wait_s in (0.1, 0.3, 0.5, 0.6, 0.8, 0.99, 1.1)
+        ]
+        for row in verdicts:
+            self.assertEqual(row, sorted(row, reverse=True))
+        self.assertEqual(verdicts[0], [True] * 4)
+        self.assertEqual(verdicts[-1], [False] * 4)
+
+    def test_callers_come_back_within_a_third_of_their_time_and_spread(self):
+        random = Random(1)
+        for left_s in (0.0, 0.1, 1.0, 5.0, 60.0):
+            pauses = [choose_retry_after_s(left_s, random) for _ in range(200)]
+            self.assertLessEqual(max(pauses), left_s / 3)
+            self.assertGreaterEqual(min(pauses), 0.0)
+            if left_s >= 1.0:
+                self.assertGreater(max(pauses) - min(pauses), 0.1)
+
+
+class BudgetTest(unittest.TestCase):
+    """Further sends and health checks of a fleet."""
+
+    def test_fleet_stays_within_the_bound_in_any_window(self):
+        for vms in (1, 13, 121):
+            budgets = [RetryBudget() for _ in range(vms)]
+            random = Random(vms)
+            sends, requests = [], []
+            for budget in budgets:
+                budget.apply_bounds(0.2, 56.0 / vms, 10.0)
+            for step in range(3000):
+                now_s = step * 0.01
+                budget = random.choice(budgets)
+                budget.record_request(now_s)
+                requests.append(now_s)
+                for _ in range(3):
+                    if budget.spend_send(now_s):
+                        sends.append(now_s)
+            for start in range(0, 20):
+                window = [one for one in sends if start <= one < start + 10]
+                asked = [one for one in requests if start <= one < start + 10]
+                self.assertLessEqual(len(window), 0.2 * len(asked) + 56)
+
+    def test_vms_that_come_do_not_break_the_bound(self):
+        # The second VM is not known to the first one yet, which spends the whole slack.
+        budgets = [RetryBudget(), RetryBudget()]
+        budgets[0].apply_bounds(0.2, 56.0, 10.0)
+        budgets[1].apply_bounds(0.2, 28.0, 10.0)
+        spent = sum(budget.spend_send(1.0) for budget in budgets for _ in range(100))
+        self.assertLessEqual(spent, 60)
+
+    def test_health_checks_of_a_vm_stay_within_its_share(self):
+        pacer = CheckPacer()
+        pacer.apply_bounds(60.0, 24, 13)
+        sent = []
+        for step in range(500):
+            now_s = step * 0.01
+            sent += [now_s] * pacer.grant_checks(8, now_s)
+        for start in range(4):
+            window = [one for one in sent if start <= one < start + 1]
+            self.assertLessEqual(len(window), 60.0 * 24 / 13 * 1.25)
+        self.assertGreater(pacer.skipped, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/cardamomtack_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins."""
