--- a/tests/cardamomtack_platform/test_process.py
+++ b/tests/cardamomtack_platform/test_process.py
@@ -17,7 +17,11 @@
 from cardamomtack_standins.asgi import async_serve_service
 from cardamomtack_standins.fleet import find_free_ports
 from cardamomtack_standins.keyed_store import KeyedStoreStandIn
-from tests.cardamomtack_daemon.forwarding.case import Caller, async_wait_for
+from tests.cardamomtack_daemon.forwarding.case import (
+    STREAM_ERRORS,
+    Caller,
+    async_wait_for,
+)
 from tests.cardamomtack_platform.test_translation import CONFIGURATION, ENTRY
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -37,7 +41,10 @@
     """Answer health checks and requests as a backend server of the platform."""
     async with stream:
         while True:
-            head = await stream.receive()
+            try:
+                head = await stream.receive()
+            except STREAM_ERRORS:
+                return
             fields = dict(
                 line.split(b": ", 1) for line in head.split(b"\r\n") if b": " in line
             )
