Never call a request not run when an earlier send of it may have run

Cause: the last send decided alone. A lost answer followed by a refusal of a second server was answered 503, which promises that nothing ran. Found by reading.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -179,7 +179,7 @@
             ):
                 self._sender.give_back(asked)
                 return self._finish(call, result)
-            result = await self._async_send(call, asked)
+            result = _keep_worse(result, await self._async_send(call, asked))
             if not self._may_send_again(call, result):
                 return self._finish(call, result)
 
@@ -230,6 +230,16 @@
         return budget
 
 
+def _keep_worse(known: SendResult | None, result: SendResult) -> SendResult:
+    """Return what a call has come to after one more send.
+
+    A proof that one server did not run the request proves nothing about another.
+    """
+    if known is None or result.outcome is not SendOutcome.NOT_RUN:
+        return result
+    return known
+
+
 def _refuse(detail: str, retry_after_s: float) -> Handled:
     """Return the refusal of a request that has not run and will not run."""
     return write_problem(503, detail, OUTCOME_NOT_RUN, retry_after_s), None
--- a/tests/cardamomtack_daemon/forwarding/test_answers.py
+++ b/tests/cardamomtack_daemon/forwarding/test_answers.py
@@ -158,6 +158,43 @@
 
         self.count("book", script, 500, 1)
 
+    def play_in_turn(self, first, second, status, body=None):
+        """Check a read whose two sends end differently."""
+
+        async def scenario(vm, servers):
+            scripts = [first, second]
+
+            async def script(server, request, stream):
+                await scripts.pop(0)(server, request, stream)
+
+            for server in servers:
+                server.script = script
+            answer = await vm.async_call("read", "x-1")
+            self.assertEqual(answer.status, status)
+            if body is not None:
+                self.assertEqual(answer.body, body)
+            self.assertEqual(scripts, [])
+
+        self.play(scenario, servers=4)
+
+    def test_refusal_after_a_lost_answer_is_not_called_not_run(self):
+        async def lose(server, request, stream):
+            await stream.aclose()
+
+        async def refuse(server, request, stream):
+            await stream.send(write_not_run())
+
+        self.play_in_turn(lose, refuse, 502)
+
+    def test_refusal_after_a_failure_leaves_the_answer_of_the_failure(self):
+        async def fail(server, request, stream):
+            await stream.send(write_answer(request, 500, b"no"))
+
+        async def refuse(server, request, stream):
+            await stream.send(write_not_run())
+
+        self.play_in_turn(fail, refuse, 500, b"no")
+
     def test_one_attempt_is_one_send(self):
         async def scenario(vm, servers):
             async def script(server, request, stream):
