Log how each request ended; keep nearly full servers for what meets its objective

Decisions are written as bounded JSON lines that never block, and cardamomtack explain-request tells the story of one request. A server that is nearly full slows down, so a request that would take its last slots must be expected within 0.9, 0.8 or 0.7 of its objective by priority.

--- a/packages/cardamomtack/src/cardamomtack/placing/admission.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/admission.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from random import Random
 
-WAIT_SHARE_BY_PRIORITY = (1.0, 0.85, 0.7)
+WAIT_SHARE_BY_PRIORITY = (0.9, 0.8, 0.7)
 """Share of what is left of the latency objective that a request may need."""
 
 RETRY_AFTER_S_MAX = 0.6
@@ -47,7 +47,7 @@
     priority : int
         0 is the most urgent.
     is_full : bool
-        Whether the request would wait for a slot of the server.
+        Whether the request would wait for a slot of the server or slow it down.
     """
     if times.estimate_s > times.deadline_left_s:
         return False
--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -11,6 +11,7 @@
     EJECTION_S_MIN,
     FAILURE_GAIN,
     FAILURE_HALF_LIFE_S,
+    FULL_SHARE,
     SILENCE_REST_S,
 )
 
@@ -199,9 +200,13 @@
 
 
 def is_past_room(server: ServerView) -> bool:
-    """Return whether a request would wait for a slot of a server."""
+    """Return whether a request would wait for a slot, or slow the others down.
+
+    A server slows down when nearly all of its slots are busy, so its last slots bring
+    less than they take.
+    """
     report = server.report
     if report is None:
         return False
     ahead = report.running + report.waiting + server.sent_since_report
-    return ahead >= report.slots
+    return ahead + 1 > FULL_SHARE * report.slots
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -8,7 +8,8 @@
 
 from anyio import sleep
 
-from cardamomtack.helpers.clock import Clock
+from cardamomtack.generated.logs import SendRecord
+from cardamomtack.helpers.clock import MS_PER_S, Clock
 from cardamomtack.placing.server import ServerView
 from cardamomtack.quarantine.ledger import CrashLedger
 from cardamomtack_daemon.forwarding.asking import AskedServer
@@ -143,7 +144,11 @@
         server = asked.server
         connection = asked.connection
         digests = self._digests.setdefault(server.vm_id, [])
-        call.sends += 1
+        started_s = self._clock.read_monotonic_s()
+        record = SendRecord(
+            server.vm_id, SendOutcome.BROKEN.value, 0, str(server.report)
+        )
+        call.sends.append(record)
         call.tried.add(server.vm_id)
         server.record_send()
         digests.append(call.digest)
@@ -163,8 +168,14 @@
             if rest is None:
                 server.record_end()
                 self._pool.release(server, connection)
+            record.duration_ms = self._count_ms(started_s)
+        record.outcome = result.outcome.value
         return result
 
+    def _count_ms(self, started_s: float) -> int:
+        """Return the milliseconds since a time."""
+        return int((self._clock.read_monotonic_s() - started_s) * MS_PER_S)
+
     async def _async_exchange(
         self, call: ForwardedCall, server: ServerView, connection: ServerConnection
     ) -> SendResult:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from cardamomtack.generated.logs import SendRecord
 from cardamomtack.helpers.clock import MS_PER_S
 from cardamomtack.routing.policy import RoutePolicy
 from cardamomtack_daemon.forwarding.names import HeaderNames
@@ -32,8 +33,12 @@
         Digest of host, method, target and body.
     tried : set of str
         Ids of the servers that it was sent to or that did not take it.
-    sends : int
-        How many servers it was sent to.
+    sends : list of SendRecord
+        The servers that it was sent to, and what became of it there.
+    estimate_s : float or None
+        When the best server was last expected to answer, in seconds.
+    usable : int
+        Servers of the service that might get work then.
     """
 
     request: HttpRequest
@@ -46,7 +51,9 @@
     objective_s: float
     digest: bytes
     tried: set[str] = field(default_factory=set)
-    sends: int = 0
+    sends: list[SendRecord] = field(default_factory=list)
+    estimate_s: float | None = None
+    usable: int = 0
 
     def encode(self, server_id: str, now_s: float) -> bytes:
         """Return the request as it goes to a server.
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -6,6 +6,7 @@
 import signal
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import isfinite
 from random import Random, SystemRandom
 from typing import Protocol
 
@@ -16,7 +17,7 @@
 from cardamomtack.discovery.coordinator import DiscoveryCoordinator, EntryCodec
 from cardamomtack.discovery.registry import ServerRegistry
 from cardamomtack.generated.relay import CrashNotice, Member
-from cardamomtack.helpers.clock import Clock
+from cardamomtack.helpers.clock import MS_PER_S, Clock
 from cardamomtack.placing.chooser import PlacementChooser
 from cardamomtack.placing.server import ServerView
 from cardamomtack.quarantine.ledger import CrashLedger
@@ -48,6 +49,7 @@
     CallerServer,
     ConnectionLimits,
 )
+from cardamomtack_daemon.logs import DecisionLog, LineWriter
 from cardamomtack_daemon.pool import ConnectionPool
 from cardamomtack_daemon.replicas.membership import MembershipTask
 from cardamomtack_daemon.replicas.reader import TopicReader
@@ -115,6 +117,8 @@
         Source of choices.
     reload : callable
         Reads the settings again when a signal asks for it.
+    writer : LineWriter or None
+        Takes the lines of decisions; None leaves them out.
     """
 
     __slots__ = (
@@ -138,6 +142,7 @@
         "_sender",
         "_settings",
         "_stopped",
+        "_writer",
     )
 
     def __init__(
@@ -149,7 +154,9 @@
         clock: Clock,
         random: Random,
         reload: Callable[[], None] = lambda: None,
+        writer: LineWriter | None = None,
     ) -> None:
+        self._writer = writer
         self._clock = clock
         self._reload = reload
         self._stopped = Event()
@@ -218,6 +225,8 @@
             self._ledger,
             clock,
             random,
+            DecisionLog(self._writer, clock),
+            self._read_servers_age_ms,
         )
         self._limits = ConnectionLimits(
             BODY_BYTES_MAX, CALLER_CONNECTIONS_MAX, IDLE_S, cancels_abandoned=True
@@ -346,6 +355,11 @@
             return True
         return self._members.is_reader(self._clock.read_monotonic_s())
 
+    def _read_servers_age_ms(self) -> int:
+        """Return how long ago the store confirmed the servers, or -1 for never."""
+        age_s = self._replicas[-1].find_age_s(self._clock.read_monotonic_s())
+        return int(age_s * MS_PER_S) if isfinite(age_s) else -1
+
     def _share_budgets(self) -> None:
         """Share the budgets of the fleet among the VMs that are known."""
         vms = self._members.count
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from asyncio import CancelledError
+from collections.abc import Callable
 from random import Random
 
 from loguru import logger
 
+from cardamomtack.generated.logs import RequestDecision
 from cardamomtack.helpers.clock import MS_PER_S, Clock
 from cardamomtack.placing.admission import choose_retry_after_s
 from cardamomtack.placing.budget import RetryBudget
@@ -32,6 +35,7 @@
     write_problem,
 )
 from cardamomtack_daemon.http1.server import AnswerSource
+from cardamomtack_daemon.logs import DecisionLog
 
 Handled = tuple[HttpAnswer, AnswerSource | None]
 
@@ -60,6 +64,10 @@
         Tells the time.
     random : Random
         Spreads callers that come back.
+    decisions : DecisionLog
+        Takes how requests ended.
+    read_servers_age_ms : callable
+        Returns how long ago the store confirmed the servers, in milliseconds.
 
     Attributes
     ----------
@@ -76,11 +84,13 @@
     __slots__ = (
         "_budgets",
         "_clock",
+        "_decisions",
         "_ledger",
         "_names",
         "_patience",
         "_placer",
         "_random",
+        "_read_servers_age_ms",
         "_routes",
         "_sender",
         "in_flight",
@@ -99,7 +109,11 @@
         ledger: CrashLedger,
         clock: Clock,
         random: Random,
+        decisions: DecisionLog,
+        read_servers_age_ms: Callable[[], int],
     ) -> None:
+        self._decisions = decisions
+        self._read_servers_age_ms = read_servers_age_ms
         self._budgets: dict[str, RetryBudget] = {}
         self._clock = clock
         self._ledger = ledger
@@ -162,26 +176,61 @@
         )
         if self._ledger.is_quarantined(digest):
             detail = "this request crashed the backend servers that ran it"
-            return _refuse(detail, SUSPECT_RETRY_AFTER_S)
-        return await self._async_forward(call)
+            handled = _refuse(detail, SUSPECT_RETRY_AFTER_S)
+            self._log_decision(call, handled[0].status, detail)
+            return handled
+        try:
+            handled, reason = await self._async_forward(call)
+        except CancelledError:
+            self._log_decision(call, 0, "caller has gone")
+            raise
+        self._log_decision(call, handled[0].status, reason)
+        return handled
+
+    def _log_decision(self, call: ForwardedCall, status: int, reason: str) -> None:
+        """Log how a call ended, and what decided it."""
+        now_s = self._clock.read_monotonic_s()
+        estimate_s = call.estimate_s
+        decision = RequestDecision(
+            request_id=call.request_id.decode("latin-1"),
+            route=call.route.name,
+            service=call.service,
+            status=status,
+            reason=reason,
+            version=self._routes.version,
+            servers_age_ms=self._read_servers_age_ms(),
+            duration_ms=int((now_s - call.arrived_s) * MS_PER_S),
+            deadline_left_ms=int((call.deadline_s - now_s) * MS_PER_S),
+            estimate_ms=-1 if estimate_s is None else int(estimate_s * MS_PER_S),
+            usable=call.usable,
+            sends=call.sends,
+        )
+        is_plain = reason == SendOutcome.ANSWERED.value and len(call.sends) == 1
+        self._decisions.record_decision(decision, is_plain)
+
+    async def _async_forward(self, call: ForwardedCall) -> tuple[Handled, str]:
+        """Send a call until it is answered or may not be sent again.
 
-    async def _async_forward(self, call: ForwardedCall) -> Handled:
-        """Send a call until it is answered or may not be sent again."""
+        Returns
+        -------
+        (HttpAnswer, AnswerSource or None), str
+            The answer, and the reason for the log.
+        """
         budget = self._find_budget(call.service)
         budget.record_request(call.arrived_s)
         result: SendResult | None = None
         while True:
             asked = await self._placer.async_place(call)
             if asked is None:
-                return self._finish(call, result)
+                return self._finish(call, result, "no server can answer in time")
             if result is not None and not budget.spend_send(
                 self._clock.read_monotonic_s()
             ):
                 self._sender.give_back(asked)
-                return self._finish(call, result)
+                return self._finish(call, result, "retry budget is spent")
             result = _keep_worse(result, await self._async_send(call, asked))
             if not self._may_send_again(call, result):
-                return self._finish(call, result)
+                return self._finish(call, result, result.outcome.value)
 
     async def _async_send(self, call: ForwardedCall, asked: AskedServer) -> SendResult:
         """Send a call once and learn from the time it took."""
@@ -200,20 +249,23 @@
             return False
         if result.outcome is not SendOutcome.NOT_RUN and not call.route.is_idempotent:
             return False
-        if result.rest is not None or call.sends >= call.route.attempts_max:
+        if result.rest is not None or len(call.sends) >= call.route.attempts_max:
             return False
         return self._clock.read_monotonic_s() < call.deadline_s
 
-    def _finish(self, call: ForwardedCall, result: SendResult | None) -> Handled:
-        """Return the final answer of a call."""
+    def _finish(
+        self, call: ForwardedCall, result: SendResult | None, reason: str
+    ) -> tuple[Handled, str]:
+        """Return the final answer of a call, and the reason for the log."""
         now_s = self._clock.read_monotonic_s()
         if result is None or result.outcome is SendOutcome.NOT_RUN:
             retry_after_s = choose_retry_after_s(call.deadline_s - now_s, self._random)
-            return _refuse("no backend server can answer in time", retry_after_s)
+            return _refuse(reason, retry_after_s), reason
         if result.answer is not None:
-            return result.answer, result.rest
+            return (result.answer, result.rest), reason
         status = 504 if result.outcome is SendOutcome.OVERDUE else 502
-        return write_problem(status, result.outcome.value, OUTCOME_UNKNOWN), None
+        problem = write_problem(status, result.outcome.value, OUTCOME_UNKNOWN)
+        return (problem, None), reason
 
     def _find_budget(self, service: str) -> RetryBudget:
         """Return the budget of further sends to a service."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -76,11 +76,26 @@
             best = self._choose(asked, work_s)
         if best is None and self._asker.is_exhausted:
             best = await self._async_place_unasked(service, call)
+        self._note_choice(service, best, call, work_s)
         if best is not None and not self._is_worth_it(best, call, work_s):
             best = None
         self._asker.release(asked, best)
         return best
 
+    def _note_choice(
+        self,
+        service: ServiceView,
+        best: AskedServer | None,
+        call: ForwardedCall,
+        work_s: float,
+    ) -> None:
+        """Note for the log what a choice was made from."""
+        now_s = self._clock.read_monotonic_s()
+        call.usable = sum(server.is_usable(now_s) for server in service.members)
+        call.estimate_s = None
+        if best is not None:
+            call.estimate_s = self._chooser.estimate_s(best.server, work_s, now_s)
+
     async def _async_ask(
         self, service: ServiceView, call: ForwardedCall, is_own_zone: bool
     ) -> list[AskedServer]:
--- a/packages/cardamomtack_operator/src/cardamomtack_operator/commands.py
+++ b/packages/cardamomtack_operator/src/cardamomtack_operator/commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import sys
 from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
@@ -37,6 +38,7 @@
 )
 from cardamomtack_operator.fleet import FleetAddresses, FleetReader
 from cardamomtack_operator.output import print_error, print_findings, print_json
+from cardamomtack_operator.story import find_decisions, tell_story
 
 Action = Callable[[FleetReader], Awaitable[int]]
 
@@ -169,6 +171,32 @@
             )
         )
 
+    def explain_request(self, request_id: str, *logs: str) -> None:
+        """Tell from logs what became of a request.
+
+        Example: cardamomtack explain-request 9c41d07be2a35f68 vm-1.log vm-2.log
+
+        Parameters
+        ----------
+        request_id : str
+            Id of one send of a caller.
+        logs : str
+            Log files of the VMs; standard input without any.
+        """
+        lines: list[str] = []
+        try:
+            for path in logs:
+                text = Path(path).read_text(encoding="utf-8", errors="replace")
+                lines += text.splitlines()
+        except OSError as error:
+            print_error(str(error))
+            raise SystemExit(EXIT_USAGE) from error
+        if not logs:
+            lines = sys.stdin.read().splitlines()
+        decisions = find_decisions(lines, str(request_id))
+        print("\n".join(tell_story(decisions, str(request_id))))
+        raise SystemExit(EXIT_OK if decisions else EXIT_FAILURE)
+
     def _run(self, action: Action) -> None:
         """Run an action and end the process with its exit code."""
         code = anyio.run(self._async_run, action)
--- /dev/null
+++ b/packages/cardamomtack_operator/src/cardamomtack_operator/story.py
@@ -0,0 +1,95 @@
+"""Tells from the logs of all VMs what became of a request."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from msgspec import DecodeError, ValidationError
+from msgspec.json import Decoder
+
+from cardamomtack.generated.logs import LogLine, RequestDecision
+
+_DECODER = Decoder(LogLine)
+
+NOT_RUN_STATUS = 503
+STATUS_GONE = 0
+
+
+def find_decisions(lines: Iterable[str], request_id: str) -> list[LogLine]:
+    """Return the lines of a request, in the order of their time.
+
+    Parameters
+    ----------
+    lines : iterable of str
+        Lines of the logs of any VMs; what stands before the first brace is left out,
+        and so are lines that can't be read.
+    """
+    found: list[LogLine] = []
+    for line in lines:
+        start = line.find("{")
+        if start < 0 or request_id not in line:
+            continue
+        try:
+            read = _DECODER.decode(line[start:])
+        except (DecodeError, ValidationError):
+            continue
+        if read.request is not None and read.request.request_id == request_id:
+            found.append(read)
+    return sorted(found, key=lambda one: one.time)
+
+
+def tell_story(decisions: list[LogLine], request_id: str) -> list[str]:
+    """Return what became of a request, in plain sentences."""
+    if not decisions:
+        return [
+            f"No line on request {request_id}. The VM may have left it out under load "
+            "(look for 'lines omitted'), ended before it wrote, or never read it."
+        ]
+    story: list[str] = []
+    for line in decisions:
+        assert line.request is not None
+        story += _tell_decision(line, line.request)
+    return story
+
+
+def _tell_decision(line: LogLine, request: RequestDecision) -> list[str]:
+    """Return the sentences on one decision."""
+    story = [
+        f"{line.time}: {line.vm_id} had request {request.request_id} of route "
+        f"{request.route}, for service {request.service}, with version "
+        f"{request.version} of the configuration in force."
+    ]
+    age = "never" if request.servers_age_ms < 0 else f"{request.servers_age_ms} ms ago"
+    story.append(
+        f"The store had confirmed the servers {age}; {request.usable} of the service "
+        "could get work."
+    )
+    if request.estimate_ms >= 0:
+        story.append(
+            f"The best of those that were asked was expected to take "
+            f"{request.estimate_ms} ms."
+        )
+    for number, send in enumerate(request.sends, 1):
+        load = f", which had told {send.load}" if send.load else ""
+        story.append(
+            f"Send {number} went to {send.server_id}{load}: {send.outcome}, after "
+            f"{send.duration_ms} ms."
+        )
+    story.append(_tell_end(request))
+    return story
+
+
+def _tell_end(request: RequestDecision) -> str:
+    """Return the sentence on the end of a request."""
+    when = f"after {request.duration_ms} ms, {request.deadline_left_ms} ms before"
+    if request.status == STATUS_GONE:
+        return f"The caller left {when} its deadline; the server's work was ended."
+    if request.status == NOT_RUN_STATUS:
+        return (
+            f"It was refused with {request.status} {when} its deadline, because: "
+            f"{request.reason}. It has not run."
+        )
+    return (
+        f"The caller got {request.status} {when} its deadline, because: "
+        f"{request.reason}."
+    )
--- a/tests/cardamomtack_daemon/forwarding/case.py
+++ b/tests/cardamomtack_daemon/forwarding/case.py
@@ -32,6 +32,7 @@
 from cardamomtack_daemon.forwarding.daemon import EntryDaemon, StoreSources
 from cardamomtack_daemon.forwarding.names import HeaderNames
 from cardamomtack_daemon.forwarding.settings import EntrySettings
+from cardamomtack_daemon.logs import LineWriter
 from cardamomtack_daemon.replicas.source import SourceError
 from cardamomtack_standins.fleet import find_free_ports
 
@@ -440,6 +441,7 @@
         store: EntryVm | None = None,
         zone: str = ZONE,
         grace_s: float = 6.0,
+        writer: LineWriter | None = None,
     ) -> None:
         self.codec = store.codec if store else MemoryCodec()
         self.configuration = MemoryTopic("configuration")
@@ -465,7 +467,13 @@
         self.stopping = anyio.Event()
         sources = StoreSources(self.configuration, self.entries, self.members)
         self.daemon = EntryDaemon(
-            self.settings, NAMES, self.codec, sources, SystemClock(), Random(1)
+            self.settings,
+            NAMES,
+            self.codec,
+            sources,
+            SystemClock(),
+            Random(1),
+            writer=writer,
         )
 
     def publish(self, configuration: FleetConfiguration) -> None:
--- a/tests/cardamomtack_platform/test_process.py
+++ b/tests/cardamomtack_platform/test_process.py
@@ -152,6 +152,9 @@
                     stopped.set()
             lines = [json.loads(line) for line in log.splitlines()]
             self.assertTrue(all("message" in line for line in lines))
+            (decided,) = [one for one in lines if one["message"] == "request decided"]
+            self.assertEqual(decided["request"]["request_id"], "a1")
+            self.assertEqual(decided["request"]["status"], 200)
 
         with tempfile.TemporaryDirectory() as folder:
             anyio.run(run, folder)
