--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -33,6 +33,13 @@
     slots: int
     slowness: float = SLOWNESS_USUAL
 
+    def describe(self) -> str:
+        """Return the load in words, for a log."""
+        return (
+            f"{self.running} running, {self.waiting} waiting, {self.slots} slots, "
+            f"{self.slowness:g} times as slow as usual"
+        )
+
 
 class ServerView:
     """One incarnation of a backend server, as this VM sees it.
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -145,9 +145,8 @@
         connection = asked.connection
         digests = self._digests.setdefault(server.vm_id, [])
         started_s = self._clock.read_monotonic_s()
-        record = SendRecord(
-            server.vm_id, SendOutcome.BROKEN.value, 0, str(server.report)
-        )
+        load = server.report.describe() if server.report is not None else ""
+        record = SendRecord(server.vm_id, SendOutcome.BROKEN.value, 0, load)
         call.sends.append(record)
         call.tried.add(server.vm_id)
         server.record_send()
