--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -42,13 +42,10 @@
 from cardamomtack_daemon.forwarding.forwarder import Forwarder
 from cardamomtack_daemon.forwarding.names import HeaderNames
 from cardamomtack_daemon.forwarding.placer import Placer
+from cardamomtack_daemon.forwarding.readiness import ReadinessHandler
 from cardamomtack_daemon.forwarding.settings import EntrySettings
-from cardamomtack_daemon.http1.messages import HttpAnswer, HttpRequest
-from cardamomtack_daemon.http1.server import (
-    AnswerSource,
-    CallerServer,
-    ConnectionLimits,
-)
+from cardamomtack_daemon.http1.connection import ConnectionLimits
+from cardamomtack_daemon.http1.server import CallerServer
 from cardamomtack_daemon.logs import DecisionLog, LineWriter
 from cardamomtack_daemon.pool import ConnectionPool
 from cardamomtack_daemon.replicas.membership import MembershipTask
@@ -77,27 +74,6 @@
     members: MemberDirectory
 
 
-class ReadinessHandler:
-    """Tells the platform's balancer whether it should send callers here.
-
-    Parameters
-    ----------
-    is_ready : callable
-        Returns whether a request could be served.
-    """
-
-    __slots__ = ("_is_ready",)
-
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
-        self._is_ready = is_ready
-
-    async def async_handle(
-        self, request: HttpRequest
-    ) -> tuple[HttpAnswer, AnswerSource | None]:
-        """Return 200 or 503."""
-        return HttpAnswer(200 if self._is_ready() else 503), None
-
-
 class EntryDaemon:
     """All parts of one entry VM.
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from asyncio import BaseTransport, Future, Protocol, Transport, get_running_loop
-from collections.abc import Callable
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
@@ -21,9 +20,10 @@
 )
 from typing import cast
 
-from httptools import HttpParserError, HttpResponseParser
+from httptools import HttpParserError
 
-from cardamomtack_daemon.http1.messages import HeaderList, HttpAnswer
+from cardamomtack_daemon.http1.collector import AnswerCheck, AnswerCollector
+from cardamomtack_daemon.http1.messages import HttpAnswer
 
 INFORMATIONAL_STATUS_MAX = 199
 KEEPALIVE_PROBES_MAX = 2
@@ -31,9 +31,6 @@
 STREAM_BUFFER_BYTES_MAX = 262_144
 UNACKNOWLEDGED_MS_MAX = 2500
 
-AnswerCheck = Callable[[int, HeaderList], bool]
-"""Tells by status and head whether an answer belongs to the request sent last."""
-
 
 class BrokenAnswerError(Exception):
     """The connection ended or was malformed before the answer was whole.
@@ -51,84 +48,6 @@
         self.is_cut = is_cut
 
 
-class _AnswerCollector:
-    """Collects what the parser reports of one answer.
-
-    Parameters
-    ----------
-    check : callable or None
-        Tells which answers belong to the request; the others are passed over.
-    """
-
-    __slots__ = (
-        "_check",
-        "_is_foreign",
-        "chunks",
-        "foreign",
-        "has_ended",
-        "has_head",
-        "headers",
-        "is_framed",
-        "keep_alive",
-        "parser",
-        "surplus",
-    )
-
-    def __init__(self, check: AnswerCheck | None = None) -> None:
-        self._check = check
-        self._is_foreign = False
-        self.foreign = 0
-        self.parser = HttpResponseParser(self)
-        self.keep_alive = False
-        self.headers: HeaderList = []
-        self.chunks: list[bytes] = []
-        self.is_framed = False
-        self.has_head = False
-        self.has_ended = False
-        self.surplus = False
-
-    def on_message_begin(self) -> None:
-        """Note a second answer, which nobody asked for."""
-        self.surplus = self.has_ended
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header field."""
-        if self.has_ended:
-            return
-        name = name.lower()
-        if name in (b"content-length", b"transfer-encoding"):
-            self.is_framed = True
-        self.headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Note that the head is complete, and whether the answer is another's."""
-        if self.has_ended:
-            return
-        status = self.parser.get_status_code()
-        if self._check is not None and not self._check(status, self.headers):
-            self._is_foreign = True
-            return
-        self.has_head = True
-
-    def on_body(self, chunk: bytes) -> None:
-        """Collect a part of the body."""
-        if not self.has_ended and not self._is_foreign:
-            self.chunks.append(chunk)
-
-    def on_message_complete(self) -> None:
-        """Note that the answer is complete, or pass over one of another request."""
-        if self._is_foreign:
-            self._is_foreign = False
-            self.foreign += 1
-            self.headers = []
-            self.is_framed = False
-            return
-        if not self.has_ended:
-            # The parser forgets this once the callback has returned.
-            self.keep_alive = self.parser.should_keep_alive()
-        self.has_ended = True
-
-
 class ServerConnection(Protocol):
     """A connection to a backend server.
 
@@ -170,7 +89,7 @@
     def __init__(self, now_s: float) -> None:
         self._accepts_unframed = False
         self._buffered_bytes = 0
-        self._collector = _AnswerCollector()
+        self._collector = AnswerCollector()
         self._fault: str | None = None
         self._is_busy = False
         self._is_cut = False
@@ -253,7 +172,7 @@
         if self._transport is None or self._is_cut:
             raise BrokenAnswerError("connection broke before sending", True)
         self._accepts_unframed = accepts_unframed
-        self._collector = _AnswerCollector(check)
+        self._collector = AnswerCollector(check)
         self._buffered_bytes = 0
         self._is_head = is_head
         self._is_busy = True
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
@@ -1,36 +1,28 @@
-"""Connections of callers.
-
-They are protocols of the event loop rather than streams, for the reason that the
-connections to backend servers are.
-"""
+"""Listens for callers and answers their requests in order."""
 
 from __future__ import annotations
 
-from asyncio import BaseTransport, Future, Transport, get_running_loop
-from asyncio import Protocol as LoopProtocol
-from collections import deque
-from typing import Protocol, cast
+from asyncio import get_running_loop
+from typing import Protocol
 
 from anyio import CancelScope, create_task_group, sleep
 from anyio.abc import TaskGroup
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from cardamomtack.helpers.clock import Clock
 from cardamomtack_daemon.http1.client import BrokenAnswerError
+from cardamomtack_daemon.http1.connection import (
+    CallerConnection,
+    CallerGoneError,
+    ConnectionLimits,
+)
 from cardamomtack_daemon.http1.messages import (
-    HeaderList,
     HttpAnswer,
     HttpRequest,
     encode_answer_head,
 )
-from cardamomtack_daemon.http1.problems import write_problem
 
 BACKLOG = 1024
-BODY_TIMEOUT_S = 30.0
-HEAD_BYTES_MAX = 65536
-HEAD_TIMEOUT_S = 30.0
 IDLE_CHECK_S = 1.0
-PIPELINED_MAX = 16
 
 
 class AnswerSource(Protocol):
@@ -52,281 +44,6 @@
         """Return the answer, and the source of its rest when it isn't whole."""
 
 
-class ConnectionLimits:
-    """Bounds of caller connections.
-
-    Parameters
-    ----------
-    body_bytes_max : int
-        Largest request body, in bytes.
-    connections_max : int
-        Open connections.
-    idle_s : float
-        Time after which an idle connection is closed, in seconds.
-    head_bytes_max : int
-        Largest head of a request, in bytes.
-    head_s : float
-        Time for the head of a request, from its first byte on, in seconds.
-    cancels_abandoned : bool
-        Whether the work on a request ends when its caller has gone. Work that others
-        wait for, as that on a claim, goes on.
-    """
-
-    __slots__ = (
-        "body_bytes_max",
-        "cancels_abandoned",
-        "connections_max",
-        "head_bytes_max",
-        "head_s",
-        "idle_s",
-    )
-
-    def __init__(
-        self,
-        body_bytes_max: int,
-        connections_max: int,
-        idle_s: float,
-        cancels_abandoned: bool = False,
-    ) -> None:
-        self.body_bytes_max = body_bytes_max
-        self.cancels_abandoned = cancels_abandoned
-        self.connections_max = connections_max
-        self.head_bytes_max = HEAD_BYTES_MAX
-        self.head_s = HEAD_TIMEOUT_S
-        self.idle_s = idle_s
-
-
-class CallerGoneError(Exception):
-    """The caller closed its connection."""
-
-
-class CallerConnection(LoopProtocol):
-    """One connection of a caller.
-
-    Parameters
-    ----------
-    server : CallerServer
-        The server that accepted it.
-    limits : ConnectionLimits
-        Bounds of the connection.
-    clock : Clock
-        Tells the time.
-
-    Attributes
-    ----------
-    scope : CancelScope or None
-        Ends the work on the current request when the caller leaves.
-    waits_since_s : float or None
-        Since when bytes of the caller are waited for; None while they aren't.
-    """
-
-    __slots__ = (
-        "_began_at_s",
-        "_body",
-        "_body_size",
-        "_can_write",
-        "_clock",
-        "_has_head",
-        "_head_size",
-        "_headers",
-        "_is_lost",
-        "_limits",
-        "_parser",
-        "_ready",
-        "_refusal",
-        "_server",
-        "_size",
-        "_target",
-        "_transport",
-        "_waiter",
-        "scope",
-        "waits_since_s",
-    )
-
-    def __init__(
-        self, server: CallerServer, limits: ConnectionLimits, clock: Clock
-    ) -> None:
-        self._began_at_s = 0.0
-        self._body_size = 0
-        self._clock = clock
-        self._has_head = False
-        self._head_size = 0
-        self._limits = limits
-        self._server = server
-        self._body: list[bytes] = []
-        self._can_write: Future[None] | None = None
-        self._headers: HeaderList = []
-        self._is_lost = False
-        self._parser = HttpRequestParser(self)
-        self._ready: deque[HttpRequest] = deque()
-        self._refusal: HttpAnswer | None = None
-        self._size = 0
-        self._target = b""
-        self._transport: Transport | None = None
-        self._waiter: Future[None] | None = None
-        self.scope: CancelScope | None = None
-        self.waits_since_s: float | None = clock.read_monotonic_s()
-
-    @property
-    def is_between_requests(self) -> bool:
-        """Return whether no request has begun to arrive."""
-        return self._size == 0
-
-    def connection_made(self, transport: BaseTransport) -> None:
-        """Keep the transport and have the requests answered."""
-        self._transport = cast("Transport", transport)
-        self._server.add_connection(self)
-
-    def data_received(self, data: bytes) -> None:
-        """Parse what arrives."""
-        if self._size == 0:
-            self._began_at_s = self._clock.read_monotonic_s()
-        self._size += len(data)
-        try:
-            self._parser.feed_data(data)
-        except HttpParserUpgrade:
-            self._refuse(400, "upgrades are not supported")
-        except HttpParserError as error:
-            self._refuse(400, f"malformed request: {error}")
-        if not self._has_head and self._size > self._limits.head_bytes_max:
-            self._refuse(431, "head of the request is too large")
-        if len(self._ready) >= PIPELINED_MAX and self._transport is not None:
-            self._transport.pause_reading()
-        if self._ready or self._refusal is not None:
-            self._wake()
-
-    def connection_lost(self, error: Exception | None) -> None:
-        """Note that the connection is gone."""
-        self._is_lost = True
-        self._wake()
-        self.resume_writing()
-        if self.scope is not None:
-            self.scope.cancel()
-
-    def pause_writing(self) -> None:
-        """Make a long answer wait until the caller takes more."""
-        self._can_write = get_running_loop().create_future()
-
-    def resume_writing(self) -> None:
-        """Let a long answer go on."""
-        if self._can_write is not None and not self._can_write.done():
-            self._can_write.set_result(None)
-        self._can_write = None
-
-    def on_message_begin(self) -> None:
-        """Start a request."""
-        self._target = b""
-        self._headers = []
-        self._body = []
-        self._body_size = 0
-        self._has_head = False
-        self._head_size = 0
-
-    def on_url(self, target: bytes) -> None:
-        """Collect a part of the target."""
-        self._head_size += len(target)
-        self._target += target
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header field."""
-        self._headers.append((name.lower(), value))
-        self._head_size += len(name) + len(value)
-
-    def on_headers_complete(self) -> None:
-        """Note that the head is complete, and check its size."""
-        self._has_head = True
-        if self._head_size > self._limits.head_bytes_max:
-            self._refuse(431, "head of the request is too large")
-
-    def on_body(self, chunk: bytes) -> None:
-        """Collect a part of the body."""
-        self._body_size += len(chunk)
-        if self._body_size > self._limits.body_bytes_max:
-            self._refuse(413, "body of the request is too large")
-            return
-        self._body.append(chunk)
-
-    def on_message_complete(self) -> None:
-        """Complete a request."""
-        if self._refusal is not None:
-            return
-        parser = self._parser
-        is_current = parser.get_http_version() == "1.1"
-        keep_alive = parser.should_keep_alive() and is_current
-        body = b"".join(self._body)
-        method = parser.get_method()
-        self._ready.append(
-            HttpRequest(method, self._target, self._headers, body, keep_alive)
-        )
-        self._size = 0
-
-    async def async_read_request(self, clock: Clock) -> HttpRequest | HttpAnswer:
-        """Return the next request, or the refusal of a malformed one.
-
-        Raises
-        ------
-        CallerGoneError
-            When the caller closed the connection.
-        """
-        self.waits_since_s = clock.read_monotonic_s()
-        while not self._ready:
-            if self._is_lost:
-                raise CallerGoneError
-            if self._refusal is not None:
-                return self._refusal
-            self._waiter = get_running_loop().create_future()
-            try:
-                await self._waiter
-            finally:
-                self._waiter = None
-        self.waits_since_s = None
-        if len(self._ready) == PIPELINED_MAX and self._transport is not None:
-            self._transport.resume_reading()
-        return self._ready.popleft()
-
-    def is_overdue(self, now_s: float) -> bool:
-        """Return whether the caller has taken too long to send a request."""
-        if self.waits_since_s is None:
-            return False
-        limits = self._limits
-        if self._size == 0:
-            return now_s - self.waits_since_s > limits.idle_s
-        limit_s = BODY_TIMEOUT_S if self._has_head else limits.head_s
-        return now_s - self._began_at_s > limit_s
-
-    def send(self, data: bytes) -> None:
-        """Send bytes to the caller.
-
-        Raises
-        ------
-        CallerGoneError
-            When the caller closed the connection.
-        """
-        if self._is_lost or self._transport is None:
-            raise CallerGoneError
-        self._transport.write(data)
-
-    async def async_drain(self) -> None:
-        """Wait until the caller has taken most of what was sent."""
-        if self._can_write is not None:
-            await self._can_write
-
-    def close(self) -> None:
-        """Close the connection after what was sent."""
-        if self._transport is not None:
-            self._transport.close()
-
-    def _refuse(self, status: int, detail: str) -> None:
-        """Refuse what arrives, once the requests before it are answered."""
-        if self._refusal is None:
-            self._refusal = write_problem(status, detail, "not-run")
-
-    def _wake(self) -> None:
-        """Wake the task that waits for a request."""
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
-
 class CallerServer:
     """Listens for callers and answers their requests in order.
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/exchange.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/exchange.py
@@ -7,7 +7,6 @@
 from anyio import (
     BrokenResourceError,
     ClosedResourceError,
-    EndOfStream,
     WouldBlock,
     connect_tcp,
     create_memory_object_stream,
@@ -31,20 +30,12 @@
     SILENCE_S_MAX,
 )
 from cardamomtack_daemon.peers.stream import (
+    STREAM_ERRORS,
     MessageStream,
     PeerProtocolError,
     encode_frame,
 )
 
-STREAM_ERRORS = (
-    BrokenResourceError,
-    ClosedResourceError,
-    EndOfStream,
-    OSError,
-    PeerProtocolError,
-    TimeoutError,
-)
-
 
 class PeerListener(Protocol):
     """Takes the messages of peers."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/stream.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/stream.py
@@ -4,7 +4,12 @@
 
 from typing import Generic, TypeVar
 
-from anyio import fail_after
+from anyio import (
+    BrokenResourceError,
+    ClosedResourceError,
+    EndOfStream,
+    fail_after,
+)
 from anyio.abc import SocketStream
 from msgspec import DecodeError, Struct, ValidationError, msgpack
 
@@ -17,6 +22,17 @@
     """A peer sent something that is not a message."""
 
 
+STREAM_ERRORS = (
+    BrokenResourceError,
+    ClosedResourceError,
+    EndOfStream,
+    OSError,
+    PeerProtocolError,
+    TimeoutError,
+)
+"""What a stream raises when it ends or its peer breaks the protocol."""
+
+
 def encode_frame(message: Struct) -> bytes:
     """Return a message with its length in front."""
     data = msgpack.encode(message)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -38,8 +38,8 @@
 from cardamomtack.replicas.members import MemberTable
 from cardamomtack.replicas.topic import END_UNKNOWN, TopicGapError, TopicReplica
 from cardamomtack_daemon.peers.stream import (
+    STREAM_ERRORS,
     MessageStream,
-    PeerProtocolError,
     encode_frame,
 )
 from cardamomtack_daemon.replicas.const import (
@@ -53,15 +53,7 @@
 
 NOTICES_KEPT = 200
 
-STREAM_ERRORS = (
-    BrokenResourceError,
-    ClosedResourceError,
-    EndOfStream,
-    OSError,
-    PeerProtocolError,
-    TimeoutError,
-    TopicGapError,
-)
+RELAY_ERRORS = (*STREAM_ERRORS, TopicGapError)
 
 Outbox = MemoryObjectSendStream[bytes]
 
@@ -188,7 +180,7 @@
                 self._send_notices(outbox)
                 await self._async_take_messages(messages, outbox, upstream)
                 tasks.cancel_scope.cancel()
-        except* STREAM_ERRORS as group:
+        except* RELAY_ERRORS as group:
             logger.bind(upstream=upstream.vm_id, error=repr(group.exceptions[0])).info(
                 "stream from upstream VM ended"
             )
@@ -240,7 +232,7 @@
                 self._welcome(first.subscribe, outbox)
                 while True:
                     self._take_message(await messages.async_receive(None), outbox)
-        except* STREAM_ERRORS:
+        except* RELAY_ERRORS:
             pass
         finally:
             self._subscribers.discard(outbox)
--- /dev/null
+++ b/tests/cardamomtack_daemon/forwarding/memory.py
@@ -0,0 +1,142 @@
+"""The store of a test, in memory, and the configuration in it."""
+
+from __future__ import annotations
+
+import anyio
+
+from cardamomtack.discovery.entry import ServerEntry
+from cardamomtack.generated.relay import TopicRecord, TopicRecords
+from cardamomtack.replicas.topic import START_NEWEST
+from cardamomtack.routing.policy import (
+    BackendService,
+    CallerLimits,
+    FleetConfiguration,
+    Repeatability,
+    RoutePolicy,
+    ServicePart,
+)
+from cardamomtack_daemon.replicas.source import SourceError
+from tests.cardamomtack_daemon.forwarding.callers import HOST
+from tests.cardamomtack_daemon.forwarding.servers import SERVICE
+
+
+class MemoryTopic:
+    """A topic that a test writes.
+
+    Attributes
+    ----------
+    is_out : bool
+        Whether reads fail at once.
+    is_silent : bool
+        Whether reads get no answer.
+    """
+
+    def __init__(self, topic: str) -> None:
+        self.topic = topic
+        self.records: list[TopicRecord] = []
+        self.is_out = False
+        self.is_silent = False
+        self.reads = 0
+        self.changed = anyio.Event()
+
+    def write(self, key: str, value: bytes) -> None:
+        """Append a record."""
+        self.records.append(TopicRecord(len(self.records), key, value))
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def async_read_newest(self, timeout_s: float) -> TopicRecords:
+        await self._async_begin(timeout_s)
+        newest = {record.key: record for record in self.records}
+        records = [record for record in newest.values() if record.value]
+        return TopicRecords(self.topic, START_NEWEST, len(self.records), records)
+
+    async def async_read_on(
+        self, offset: int, wait_s: float, timeout_s: float
+    ) -> TopicRecords:
+        await self._async_begin(wait_s + timeout_s)
+        if offset >= len(self.records) and wait_s > 0:
+            with anyio.move_on_after(wait_s):
+                await self.changed.wait()
+        return TopicRecords(
+            self.topic, offset, len(self.records), self.records[offset:]
+        )
+
+    def close(self) -> None:
+        """Keep nothing."""
+
+    async def _async_begin(self, timeout_s: float) -> None:
+        self.reads += 1
+        if self.is_out:
+            raise SourceError("out")
+        if self.is_silent:
+            await anyio.sleep(timeout_s)
+            raise SourceError("silent")
+
+
+class MemoryMembers:
+    """The records of the VMs."""
+
+    def __init__(self) -> None:
+        self.records: dict[str, bytes] = {}
+
+    async def async_read_members(self, timeout_s: float) -> list[bytes]:
+        return [record for record in self.records.values() if record]
+
+    async def async_write_member(
+        self, vm_id: str, record: bytes, timeout_s: float
+    ) -> None:
+        self.records[vm_id] = record
+
+
+class MemoryCodec:
+    """Finds the objects that stand behind the records of a test."""
+
+    def __init__(self) -> None:
+        self.objects: dict[bytes, object] = {}
+
+    def encode(self, value: object) -> bytes:
+        """Return the record of an object."""
+        name = str(len(self.objects)).encode()
+        self.objects[name] = value
+        return name
+
+    def decode_configuration(self, record: TopicRecord) -> FleetConfiguration | None:
+        return self.objects.get(record.value)  # type: ignore[return-value]
+
+    def decode_entry(self, record: TopicRecord) -> ServerEntry | None:
+        return self.objects.get(record.value)  # type: ignore[return-value]
+
+
+def make_route(name: str, kind: Repeatability, **changes: object) -> RoutePolicy:
+    """Return a route whose prefix is its name."""
+    values: dict[str, object] = {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "parts": (ServicePart(SERVICE, 1.0),),
+        "repeatability": kind,
+        "attempts_max": 2,
+        "timeout_s": 2.0,
+        "objective_s": 1.0,
+        "priority": 1,
+    }
+    return RoutePolicy(**{**values, **changes})  # type: ignore[arg-type]
+
+
+ROUTES = (
+    make_route("read", Repeatability.IDEMPOTENT),
+    make_route("book", Repeatability.ONCE_PER_SEND),
+)
+
+
+def make_configuration(
+    version: int = 1, routes: tuple[RoutePolicy, ...] = ROUTES
+) -> FleetConfiguration:
+    """Return a configuration."""
+    return FleetConfiguration(
+        version,
+        routes,
+        {SERVICE: BackendService(SERVICE, "/health", 100)},
+        CallerLimits(2000, 100_000, 1.0, 5.0),
+    )
--- /dev/null
+++ b/tests/cardamomtack_daemon/forwarding/servers.py
@@ -0,0 +1,179 @@
+"""Backend servers that do what the script of a test says, byte by byte."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+from httptools import HttpRequestParser
+
+from cardamomtack.discovery.entry import ServerEntry
+
+SERVICE = "desk"
+STREAM_ERRORS = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+)
+ZONE = "zone-a"
+
+
+@dataclass(slots=True)
+class ServerRequest:
+    """A request as a scripted server got it."""
+
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+class _RequestCollector:
+    """Collects whole requests of a connection."""
+
+    def __init__(self) -> None:
+        self.ready: list[ServerRequest] = []
+        self.parser = HttpRequestParser(self)
+        self._target = b""
+        self._headers: dict[bytes, bytes] = {}
+        self._body = b""
+
+    def on_message_begin(self) -> None:
+        self._target = b""
+        self._headers = {}
+        self._body = b""
+
+    def on_url(self, target: bytes) -> None:
+        self._target += target
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.lower()] = value
+
+    def on_body(self, chunk: bytes) -> None:
+        self._body += chunk
+
+    def on_message_complete(self) -> None:
+        method = self.parser.get_method()
+        self.ready.append(
+            ServerRequest(method, self._target, self._headers, self._body)
+        )
+
+
+Script = Callable[["ScriptedServer", ServerRequest, SocketStream], Awaitable[None]]
+
+
+def write_answer(
+    request: ServerRequest, status: int = 200, body: bytes = b"done", **fields: str
+) -> bytes:
+    """Return a whole signed answer to a request."""
+    headers = {"test-id": request.headers.get(b"test-id", b"").decode()}
+    headers["test-signature"] = "signed"
+    headers["content-length"] = str(len(body))
+    headers.update({name.replace("_", "-"): value for name, value in fields.items()})
+    head = "".join(f"{name}: {value}\r\n" for name, value in headers.items() if value)
+    return f"HTTP/1.1 {status} X\r\n{head}\r\n".encode() + body
+
+
+def write_not_run(status: int = 503) -> bytes:
+    """Return the answer of a server that did not run a request."""
+    return (
+        f"HTTP/1.1 {status} X\r\ntest-not-run: 1\r\ncontent-length: 0\r\n\r\n".encode()
+    )
+
+
+async def async_answer(
+    server: ScriptedServer, request: ServerRequest, stream: SocketStream
+) -> None:
+    """Run a request and answer it whole."""
+    server.ran.append(request.headers[b"test-id"].decode())
+    await stream.send(write_answer(request))
+
+
+class ScriptedServer:
+    """A backend server that does what a test says.
+
+    Attributes
+    ----------
+    script : callable
+        Answers requests other than health checks.
+    load : str or None
+        The load that health checks tell; None for a service that tells none.
+    requests : list of ServerRequest
+        What came in, health checks left out.
+    ran : list of str
+        Ids of the requests that ran.
+    left : int
+        Connections that the daemon closed while a request was under way.
+    """
+
+    def __init__(self, server_id: str, zone: str = ZONE) -> None:
+        self.server_id = server_id
+        self.zone = zone
+        self.script: Script = async_answer
+        self.load: str | None = "0,0,4"
+        self.health_status = 200
+        self.answers_checks = True
+        self.port = 0
+        self.requests: list[ServerRequest] = []
+        self.ran: list[str] = []
+        self.checks = 0
+        self.connections = 0
+        self.left = 0
+        self._scope = anyio.CancelScope()
+
+    def make_entry(self, **changes: object) -> ServerEntry:
+        """Return what the server registers."""
+        values: dict[str, object] = {
+            "server_id": self.server_id,
+            "service": SERVICE,
+            "address": "127.0.0.1",
+            "port": self.port,
+            "availability_zone": self.zone,
+            "slots": 4,
+            "is_draining": False,
+            "warm_up_left_s": 0.0,
+            "incarnation": 1,
+        }
+        return ServerEntry(**{**values, **changes})  # type: ignore[arg-type]
+
+    async def async_serve(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Listen until stopped."""
+        listener = await anyio.create_tcp_listener(
+            local_host="127.0.0.1", local_port=self.port
+        )
+        self.port = listener.extra(SocketAttribute.local_port)
+        self._scope = anyio.CancelScope()
+        with self._scope:
+            async with listener:
+                task_status.started()
+                await listener.serve(self._async_serve_connection)
+
+    def stop(self) -> None:
+        """End the process: its listener and its connections."""
+        self._scope.cancel()
+
+    async def _async_serve_connection(self, stream: SocketStream) -> None:
+        self.connections += 1
+        collector = _RequestCollector()
+        try:
+            async with stream:
+                while True:
+                    while not collector.ready:
+                        collector.parser.feed_data(await stream.receive())
+                    await self._async_handle(collector.ready.pop(0), stream)
+        except STREAM_ERRORS:
+            pass
+
+    async def _async_handle(self, request: ServerRequest, stream: SocketStream) -> None:
+        if request.target != b"/health":
+            self.requests.append(request)
+            await self.script(self, request, stream)
+            return
+        self.checks += 1
+        if not self.answers_checks:
+            await anyio.sleep_forever()
+        load = f"test-load: {self.load}\r\n" if self.load is not None else ""
+        head = f"HTTP/1.1 {self.health_status} X\r\ntest-server: {self.server_id}\r\n"
+        await stream.send(f"{head}{load}content-length: 0\r\n\r\n".encode())
--- a/tests/cardamomtack_daemon/forwarding/test_answers.py
+++ b/tests/cardamomtack_daemon/forwarding/test_answers.py
@@ -4,12 +4,9 @@
 
 import anyio
 
-from tests.cardamomtack_daemon.forwarding.case import (
-    ForwardingCase,
-    make_configuration,
-    write_answer,
-    write_not_run,
-)
+from tests.cardamomtack_daemon.forwarding.case import ForwardingCase
+from tests.cardamomtack_daemon.forwarding.memory import make_configuration
+from tests.cardamomtack_daemon.forwarding.servers import write_answer, write_not_run
 
 FOREIGN = (
     b"HTTP/1.1 200 X\r\ntest-id: other\r\ntest-signature: s\r\n"
--- a/tests/cardamomtack_daemon/forwarding/test_life.py
+++ b/tests/cardamomtack_daemon/forwarding/test_life.py
@@ -9,12 +9,10 @@
 from tests.cardamomtack_daemon.forwarding.case import (
     EntryVm,
     ForwardingCase,
-    async_answer,
     async_wait_for,
-    make_configuration,
-    make_route,
-    write_answer,
 )
+from tests.cardamomtack_daemon.forwarding.memory import make_configuration, make_route
+from tests.cardamomtack_daemon.forwarding.servers import async_answer, write_answer
 
 
 async def async_hold(server, request, stream):
--- a/tests/cardamomtack_daemon/replicas/test_fleet.py
+++ b/tests/cardamomtack_daemon/replicas/test_fleet.py
@@ -9,13 +9,9 @@
 import anyio
 
 from cardamomtack.routing.policy import Repeatability
-from tests.cardamomtack_daemon.forwarding.case import (
-    EntryVm,
-    ScriptedServer,
-    async_wait_for,
-    make_configuration,
-    make_route,
-)
+from tests.cardamomtack_daemon.forwarding.case import EntryVm, async_wait_for
+from tests.cardamomtack_daemon.forwarding.memory import make_configuration, make_route
+from tests.cardamomtack_daemon.forwarding.servers import ScriptedServer
 
 APPLY_S = 2.0
 """Bound of the users for a version to be in force everywhere, in seconds."""
--- a/tests/cardamomtack_operator/test_story.py
+++ b/tests/cardamomtack_operator/test_story.py
@@ -17,12 +17,9 @@
     LineWriter,
 )
 from cardamomtack_operator.story import find_decisions, tell_story
-from tests.cardamomtack_daemon.forwarding.case import (
-    EntryVm,
-    ScriptedServer,
-    make_configuration,
-    write_not_run,
-)
+from tests.cardamomtack_daemon.forwarding.case import EntryVm
+from tests.cardamomtack_daemon.forwarding.memory import make_configuration
+from tests.cardamomtack_daemon.forwarding.servers import ScriptedServer, write_not_run
 
 
 async def async_refuse(server, request, stream):
--- a/tests/cardamomtack_platform/test_process.py
+++ b/tests/cardamomtack_platform/test_process.py
@@ -17,11 +17,9 @@
 from cardamomtack_standins.asgi import async_serve_service
 from cardamomtack_standins.fleet import find_free_ports
 from cardamomtack_standins.keyed_store import KeyedStoreStandIn
-from tests.cardamomtack_daemon.forwarding.case import (
-    STREAM_ERRORS,
-    Caller,
-    async_wait_for,
-)
+from tests.cardamomtack_daemon.forwarding.callers import Caller
+from tests.cardamomtack_daemon.forwarding.case import async_wait_for
+from tests.cardamomtack_daemon.forwarding.servers import STREAM_ERRORS
 from tests.cardamomtack_platform.test_translation import CONFIGURATION, ENTRY
 
 ROOT = Path(__file__).resolve().parents[2]
