Revert: take the first server to answer where none tells its load

Tried in the commit before: where servers tell no load, a health check waits for a slot, so the first answer should name a server with room. The first answer comes from the connection that is warm, which gathers the load. The choice by own requests in flight stays.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/asking.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/asking.py
@@ -68,11 +68,7 @@
     async def async_ask(
         self, service: ServiceView, servers: list[ServerView]
     ) -> list[AskedServer]:
-        """Return the servers that have answered in time that they take work.
-
-        They stand in the order of their answers. Where servers tell no load, a check
-        waits for a slot like a request, so the first answer is all that is waited for.
-        """
+        """Return the servers that have answered in time that they take work."""
         asked: list[AskedServer] = []
         now_s = self._clock.read_monotonic_s()
         servers = servers[: self.pacer.grant_checks(len(servers), now_s)]
@@ -96,12 +92,12 @@
             for server in servers:
                 tasks.start_soon(ask, server)
             with move_on_after(ASK_TIMEOUT_S):
-                await (first if service.tells_load is False else last).wait()
+                await last.wait()
             if not asked:
                 with move_on_after(ASK_TIMEOUT_S_MAX):
                     await first.wait()
             tasks.cancel_scope.cancel()
-        for server in missing if service.tells_load is not False else ():
+        for server in missing:
             server.record_silence(self._clock.read_monotonic_s())
         return asked
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -62,6 +62,8 @@
         Nothing of the request has left when this returns.
         """
         service = self._registry.find_service(call.service)
+        if service.tells_load is False:
+            return await self._async_place_unasked(service, call)
         work_s = self.estimates.find_work_s(call.route.name)
         asked = await self._async_ask(service, call, True)
         best = self._choose(asked, work_s)
@@ -112,9 +114,6 @@
 
     def _choose(self, asked: list[AskedServer], work_s: float) -> AskedServer | None:
         """Return the asked server that is expected to answer first, or None."""
-        if asked and asked[0].server.report is None:
-            # Without a load to compare, the first to answer has a slot free.
-            return asked[0]
         now_s = self._clock.read_monotonic_s()
         servers = [one.server for one in asked]
         chosen = self._chooser.choose_server(servers, work_s, now_s)
@@ -142,7 +141,7 @@
     async def _async_place_unasked(
         self, service: ServiceView, call: ForwardedCall
     ) -> AskedServer | None:
-        """Return a server without asking, while no more checks may be sent."""
+        """Return a server of a service that tells no load."""
         work_s = self.estimates.find_work_s(call.route.name)
         tried = set(call.tried)
         while self._clock.read_monotonic_s() < call.deadline_s:
