Forget old requests and senders; let one piece serve where two stood

The retry budget kept the time of every request until a further send was asked for, and so grew without end on a calm service (a test failed first: 10,000 kept of 10,000, now at most the window). Digests of servers that are gone stayed, too. Ejecting, counting what is ahead at a server, taking a server of the own zone, and ending at faulty settings each stood twice; state that nobody read is removed. Behaviour is otherwise the same.

--- a/packages/cardamomtack/src/cardamomtack/placing/admission.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/admission.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from random import Random
 
+from cardamomtack.placing.const import OWN_ZONE_OBJECTIVE_SHARE
+
 WAIT_SHARE_BY_PRIORITY = (0.9, 0.8, 0.7)
 """Share of what is left of the latency objective that a request may need."""
 
@@ -39,6 +41,19 @@
     deadline_left_s: float
 
 
+def is_good_enough(estimate_s: float, objective_left_s: float) -> bool:
+    """Return whether a server of the own zone is taken without asking others.
+
+    Parameters
+    ----------
+    estimate_s : float
+        Until the server is expected to answer, in seconds.
+    objective_left_s : float
+        Until the latency objective is missed, in seconds.
+    """
+    return estimate_s <= OWN_ZONE_OBJECTIVE_SHARE * objective_left_s
+
+
 def is_worth_placing(times: PlacementTimes, priority: int, is_full: bool) -> bool:
     """Return whether a request is sent to the best server that was found.
 
--- a/packages/cardamomtack/src/cardamomtack/placing/budget.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/budget.py
@@ -49,6 +49,7 @@
 
     def record_request(self, now_s: float) -> None:
         """Count a request of a caller."""
+        _drop_old(self._requests, now_s - self._window_s)
         self._requests.append(now_s)
 
     def spend_send(self, now_s: float) -> bool:
--- a/packages/cardamomtack/src/cardamomtack/placing/chooser.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/chooser.py
@@ -13,7 +13,6 @@
 from cardamomtack.placing.const import (
     ASKED_MAX,
     FAILURE_COST_FACTOR,
-    FULL_SHARE,
     FULL_SLOWDOWN,
     SPEED_HOLD_S,
     WARM_UP_COST_FACTOR,
@@ -21,7 +20,13 @@
     WORK_INITIAL_S,
     ZONE_CROSSING_S,
 )
-from cardamomtack.placing.server import SLOWNESS_USUAL, ServerView, ServiceView
+from cardamomtack.placing.server import (
+    SLOWNESS_USUAL,
+    ServerView,
+    ServiceView,
+    count_ahead,
+    is_past_room,
+)
 
 
 class WorkEstimates:
@@ -143,11 +148,11 @@
     if report is None:
         return 1.0 + server.in_flight / max(1, server.entry.slots)
     slots = max(1, report.slots)
-    ahead = report.running + report.waiting + server.sent_since_report
+    ahead = count_ahead(server, report)
     # The speed of now holds for a while only; longer work meets the usual one.
     held = SPEED_HOLD_S / (SPEED_HOLD_S + work_s)
     share = SLOWNESS_USUAL + (report.slowness - SLOWNESS_USUAL) * held
-    if ahead + 1 > FULL_SHARE * slots:
+    if is_past_room(server):
         share *= FULL_SLOWDOWN
     if ahead >= slots:
         share *= 1.0 + (ahead - slots + 1) / slots
--- a/packages/cardamomtack/src/cardamomtack/placing/const.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/const.py
@@ -11,6 +11,7 @@
 FAILURE_HALF_LIFE_S: Final = 3.0
 FULL_SHARE: Final = 0.8
 FULL_SLOWDOWN: Final = 1.7
+OWN_ZONE_OBJECTIVE_SHARE: Final = 0.6
 RETRY_BUDGET_SHARE: Final = 0.7
 """Part of the retry budget that is spent, for VMs that are not known yet."""
 
--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -72,7 +72,6 @@
         "in_flight",
         "is_gone",
         "report",
-        "reported_at_s",
         "sent_since_report",
     )
 
@@ -87,7 +86,6 @@
         self.in_flight = 0
         self.is_gone = False
         self.report: LoadReport | None = None
-        self.reported_at_s = 0.0
         self.sent_since_report = 0
 
     @property
@@ -133,7 +131,6 @@
     def record_report(self, report: LoadReport, now_s: float) -> None:
         """Take a load report that has just arrived."""
         self.report = report
-        self.reported_at_s = now_s
         self.sent_since_report = 0
         self._silences = 0
 
@@ -156,10 +153,8 @@
         """Note a failure; several in a row eject the server for a while."""
         self._failed_in_row += 1
         self._move_failure_share(1.0, now_s)
-        beyond = self._failed_in_row - EJECTION_FAILURES
-        if beyond >= 0:
-            pause_s = min(EJECTION_S_MAX, EJECTION_S_MIN * 2.0**beyond)
-            self.ejected_until_s = now_s + pause_s
+        if self._failed_in_row >= EJECTION_FAILURES:
+            self._eject(now_s)
 
     def record_silence(self, now_s: float) -> None:
         """Note that a question got no answer in time; the server rests a little.
@@ -173,15 +168,19 @@
     def record_unreachable(self, now_s: float) -> None:
         """Note that no connection could be opened; the server rests at once."""
         self._failed_in_row = max(self._failed_in_row + 1, EJECTION_FAILURES)
-        beyond = self._failed_in_row - EJECTION_FAILURES
-        pause_s = min(EJECTION_S_MAX, EJECTION_S_MIN * 2.0**beyond)
-        self.ejected_until_s = now_s + pause_s
+        self._eject(now_s)
 
     def estimate_failure_share(self, now_s: float) -> float:
         """Return the recent share of failures, fading with time."""
         age_s = max(0.0, now_s - self._failure_at_s)
         return self._failure_share * float(0.5 ** (age_s / FAILURE_HALF_LIFE_S))
 
+    def _eject(self, now_s: float) -> None:
+        """Let the server rest, longer with each failure in the row."""
+        beyond = self._failed_in_row - EJECTION_FAILURES
+        pause_s = min(EJECTION_S_MAX, EJECTION_S_MIN * 2.0**beyond)
+        self.ejected_until_s = now_s + pause_s
+
     def _move_failure_share(self, outcome: float, now_s: float) -> None:
         """Move the share of failures towards an outcome."""
         share = self.estimate_failure_share(now_s)
@@ -215,5 +214,9 @@
     report = server.report
     if report is None:
         return False
-    ahead = report.running + report.waiting + server.sent_since_report
-    return ahead + 1 > FULL_SHARE * report.slots
+    return count_ahead(server, report) + 1 > FULL_SHARE * report.slots
+
+
+def count_ahead(server: ServerView, report: LoadReport) -> int:
+    """Return how many requests a server runs and holds, with those sent since."""
+    return report.running + report.waiting + server.sent_since_report
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -163,6 +163,8 @@
             result = SendResult(SendOutcome.BROKEN)
         finally:
             digests.remove(call.digest)
+            if not digests:
+                self._digests.pop(server.vm_id, None)
             self._connections.discard(connection)
             if rest is None:
                 server.record_end()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -4,12 +4,15 @@
 
 from cardamomtack.discovery.registry import ServerRegistry
 from cardamomtack.helpers.clock import Clock
-from cardamomtack.placing.admission import PlacementTimes, is_worth_placing
+from cardamomtack.placing.admission import (
+    PlacementTimes,
+    is_good_enough,
+    is_worth_placing,
+)
 from cardamomtack.placing.chooser import PlacementChooser, WorkEstimates
 from cardamomtack.placing.server import ServiceView, is_past_room
 from cardamomtack_daemon.forwarding.asking import AskedServer, ServerAsker
 from cardamomtack_daemon.forwarding.call import ForwardedCall
-from cardamomtack_daemon.forwarding.const import OWN_ZONE_OBJECTIVE_SHARE
 from cardamomtack_daemon.pool import (
     CONNECTION_IDLE_S_MAX,
     ConnectionPool,
@@ -124,7 +127,7 @@
         now_s = self._clock.read_monotonic_s()
         estimate_s = self._chooser.estimate_s(best.server, work_s, now_s)
         objective_left_s = call.objective_s - now_s
-        return estimate_s <= OWN_ZONE_OBJECTIVE_SHARE * objective_left_s
+        return is_good_enough(estimate_s, objective_left_s)
 
     def _is_worth_it(
         self, best: AskedServer, call: ForwardedCall, work_s: float
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/main.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/main.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import sys
 import warnings
-from pathlib import Path
 
 import anyio
 from fire import Fire
@@ -14,22 +12,14 @@
 from cardamomtack.helpers.settings import parse_settings
 from cardamomtack_daemon.daemon import async_run_daemon
 from cardamomtack_daemon.logs import set_up_logs
-
-EXIT_INVALID = 2
+from cardamomtack_daemon.startup import exit_with_findings, read_text_or_exit
 
 
 def read_settings(path: str) -> DaemonSettings:
     """Return the settings of a file; end the process when they are invalid."""
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        print(f"{path}: can't be read: {error}", file=sys.stderr)
-        raise SystemExit(EXIT_INVALID) from error
-    result = parse_settings(text, path)
+    result = parse_settings(read_text_or_exit(path), path)
     if isinstance(result, Failure):
-        for finding in result.failure():
-            print(finding, file=sys.stderr)
-        raise SystemExit(EXIT_INVALID)
+        raise exit_with_findings(result.failure())
     return result.unwrap()
 
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -72,10 +72,6 @@
     clock : Clock
         Tells the time.
 
-    Attributes
-    ----------
-    upstream_id : str
-        The VM that this one hears from, empty for none.
     """
 
     __slots__ = (
@@ -86,7 +82,6 @@
         "_replicas",
         "_subscribers",
         "_upstream",
-        "upstream_id",
     )
 
     def __init__(
@@ -103,7 +98,6 @@
         self._replicas = {replica.topic: replica for replica in replicas}
         self._subscribers: set[Outbox] = set()
         self._upstream: Outbox | None = None
-        self.upstream_id = ""
         for replica in replicas:
             replica.add_relay(self._relay_records)
 
@@ -187,7 +181,6 @@
             self._note_dead(upstream)
         finally:
             self._upstream = None
-            self.upstream_id = ""
         return self._members.is_alive(upstream.vm_id, self._clock.read_monotonic_s())
 
     def _note_dead(self, upstream: Member) -> None:
@@ -207,7 +200,6 @@
         began_s = self._clock.read_monotonic_s()
         while True:
             message = await messages.async_receive(SILENCE_S_MAX)
-            self.upstream_id = upstream.vm_id
             self._take_message(message, outbox)
             now_s = self._clock.read_monotonic_s()
             if message.freshness is not None:
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
@@ -9,6 +9,7 @@
 from cardamomtack.placing.admission import (
     PlacementTimes,
     choose_retry_after_s,
+    is_good_enough,
     is_worth_placing,
 )
 from cardamomtack.placing.chooser import PlacementChooser, WorkEstimates
@@ -16,8 +17,6 @@
 from cardamomtack_standins.model.load import KindLoad
 from cardamomtack_standins.model.server import ModelServer
 
-OWN_ZONE_OBJECTIVE_SHARE = 0.6
-
 
 class Policy(Protocol):
     """Places the requests of one VM."""
@@ -145,8 +144,9 @@
         objective_left_s = arrived_s + kind.objective_s - now_s
         asked = self._ask(True, now_s)
         best = self._chooser.choose_server(asked, work_s, now_s)
-        limit_s = OWN_ZONE_OBJECTIVE_SHARE * objective_left_s
-        if best is None or self._chooser.estimate_s(best, work_s, now_s) > limit_s:
+        if best is None or not is_good_enough(
+            self._chooser.estimate_s(best, work_s, now_s), objective_left_s
+        ):
             asked += self._ask(False, now_s)
             best = self._chooser.choose_server(asked, work_s, now_s)
         if best is None:
--- a/tests/cardamomtack/placing/test_decisions.py
+++ b/tests/cardamomtack/placing/test_decisions.py
@@ -189,6 +189,13 @@
         spent = sum(budget.spend_send(1.0) for budget in budgets for _ in range(100))
         self.assertLessEqual(spent, 60)
 
+    def test_requests_are_forgotten_after_the_window_without_further_sends(self):
+        budget = RetryBudget()
+        budget.apply_bounds(0.2, 0.0, 10.0)
+        for step in range(10_000):
+            budget.record_request(step * 0.1)
+        self.assertLessEqual(len(budget._requests), 101)
+
     def test_health_checks_of_a_vm_stay_within_its_share(self):
         pacer = CheckPacer()
         pacer.apply_bounds(60.0, 24, 13)
