--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/traffic/dispatcher.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/traffic/dispatcher.py
@@ -243,7 +243,7 @@
             first.close()
             return await self._async_finish_second(second)
         try:
-            result = await self._async_take_first(first, second)
+            result = await self._async_take_first(call, first, second)
         except BaseException:
             second.close()
             raise
@@ -253,13 +253,13 @@
         return result
 
     async def _async_take_first(
-        self, first: Exchange, second: Exchange
+        self, call: Call, first: Exchange, second: Exchange
     ) -> AttemptResult:
         """Return the first good result, or the last when none is good."""
         sender, receiver = create_memory_object_stream[AttemptResult](2)
         async with create_task_group() as tasks, sender, receiver:
             tasks.start_soon(self._async_finish_first, first, sender)
-            tasks.start_soon(self._async_run_second, second, sender)
+            tasks.start_soon(self._async_run_second, call, second, sender)
             result = await receiver.receive()
             if not result.is_good:
                 result = await receiver.receive()
@@ -277,10 +277,27 @@
         results.send_nowait(result)
 
     async def _async_run_second(
-        self, exchange: Exchange, results: MemoryObjectSendStream[AttemptResult]
+        self,
+        call: Call,
+        exchange: Exchange,
+        results: MemoryObjectSendStream[AttemptResult],
     ) -> None:
-        """Make the second attempt beside the first."""
-        results.send_nowait(await self._async_finish_second(exchange))
+        """Make the second attempt beside the first.
+
+        Where it reaches nobody, nothing was sent, so another server takes its place.
+        """
+        result = await self._async_finish_second(exchange)
+        for _ in range(FREE_ATTEMPTS_MAX - 1):
+            if result.failure is not AttemptFailure.UNREACHABLE:
+                break
+            server = self.choose_server(call)
+            if server is None:
+                break
+            call.tried.add(server.vm_id)
+            result = await self._async_finish_second(
+                Exchange(self._context, call, server)
+            )
+        results.send_nowait(result)
 
     async def _async_finish_second(self, exchange: Exchange) -> AttemptResult:
         """Make a second attempt, on a connection that can't have been forgotten."""
