--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/asking.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/asking.py
@@ -9,7 +9,11 @@
 from cardamomtack.helpers.clock import Clock
 from cardamomtack.measuring.pacer import CheckPacer
 from cardamomtack.placing.server import ServerView, ServiceView
-from cardamomtack_daemon.forwarding.const import ASK_TIMEOUT_S, ASK_TIMEOUT_S_MAX
+from cardamomtack_daemon.forwarding.const import (
+    ASK_TIMEOUT_S,
+    ASK_TIMEOUT_S_MAX,
+    LIFE_TIMEOUT_S,
+)
 from cardamomtack_daemon.forwarding.names import HeaderNames
 from cardamomtack_daemon.http1.client import BrokenAnswerError, ServerConnection
 from cardamomtack_daemon.http1.messages import HeaderList, HttpAnswer, find_field
@@ -19,6 +23,7 @@
     ServerUnreachableError,
 )
 
+CHECK_BYTES_MAX = 65536
 STATUS_OK = 200
 
 
@@ -101,6 +106,29 @@
             server.record_silence(self._clock.read_monotonic_s())
         return asked
 
+    async def async_is_down(self, server: ServerView) -> bool:
+        """Return whether a server that cut a connection has gone down.
+
+        A new connection and a health check on it tell. A host that answers that
+        nothing listens, another server at the address, and a connection on which
+        nothing is answered speak for it; a host that can't be reached does not,
+        because the way there may be cut.
+        """
+        try:
+            connection = await self._pool.async_open(server.address, server.port)
+        except ServerUnreachableError as error:
+            server.record_unreachable(self._clock.read_monotonic_s())
+            return error.is_refused
+        answer: HttpAnswer | None = None
+        try:
+            self._send_check(server, connection)
+            answer = await connection.async_receive(CHECK_BYTES_MAX, LIFE_TIMEOUT_S)
+        except BrokenAnswerError:
+            return True
+        finally:
+            self._pool.release(server, connection)
+        return answer is None or self._is_another(server, answer)
+
     @property
     def is_exhausted(self) -> bool:
         """Return whether no further health check may be sent now."""
@@ -143,19 +171,11 @@
         BrokenAnswerError
             When the answer is cut or malformed.
         """
-        path = self.health_paths.get(service.name, b"/")
-        self.asked += 1
-        connection.send(
-            b"GET %b HTTP/1.1\r\nhost: %b\r\n\r\n" % (path, server.address.encode()),
-            is_head=False,
-            check=self._is_health_answer,
-        )
-        answer = await connection.async_receive(65536)
+        self._send_check(server, connection)
+        answer = await connection.async_receive(CHECK_BYTES_MAX)
         if answer is None:
             return False
-        named = answer.find_header(self._names.server_id)
-        if named is not None and named != server.vm_id.encode():
-            # Another server has the address now.
+        if self._is_another(server, answer):
             server.record_unreachable(self._clock.read_monotonic_s())
             return False
         self._record_load(service, server, answer)
@@ -164,6 +184,27 @@
             return False
         return connection.is_quiet()
 
+    def _send_check(self, server: ServerView, connection: ServerConnection) -> None:
+        """Send a health check.
+
+        Raises
+        ------
+        BrokenAnswerError
+            When the connection is broken.
+        """
+        path = self.health_paths.get(server.entry.service, b"/")
+        self.asked += 1
+        connection.send(
+            b"GET %b HTTP/1.1\r\nhost: %b\r\n\r\n" % (path, server.address.encode()),
+            is_head=False,
+            check=self._is_health_answer,
+        )
+
+    def _is_another(self, server: ServerView, answer: HttpAnswer) -> bool:
+        """Return whether another server has the address now."""
+        named = answer.find_header(self._names.server_id)
+        return named is not None and named != server.vm_id.encode()
+
     def _record_load(
         self, service: ServiceView, server: ServerView, answer: HttpAnswer
     ) -> None:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -6,21 +6,16 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from anyio import sleep
-
 from cardamomtack.generated.logs import SendRecord
 from cardamomtack.helpers.clock import MS_PER_S, Clock
 from cardamomtack.placing.server import ServerView
 from cardamomtack.quarantine.ledger import CrashLedger
-from cardamomtack_daemon.forwarding.asking import AskedServer
+from cardamomtack_daemon.forwarding.asking import AskedServer, ServerAsker
 from cardamomtack_daemon.forwarding.call import STATUS_MISDIRECTED, ForwardedCall
-from cardamomtack_daemon.forwarding.const import (
-    ANSWER_BUFFER_BYTES_MAX,
-    CRASH_CHECK_S,
-)
+from cardamomtack_daemon.forwarding.const import ANSWER_BUFFER_BYTES_MAX
 from cardamomtack_daemon.http1.client import BrokenAnswerError, ServerConnection
 from cardamomtack_daemon.http1.messages import HttpAnswer
-from cardamomtack_daemon.pool import ConnectionPool, ServerUnreachableError
+from cardamomtack_daemon.pool import ConnectionPool
 
 STATUS_FAILURE_MIN = 500
 STATUS_GATEWAY_TIMEOUT = 504
@@ -94,6 +89,8 @@
     ----------
     pool : ConnectionPool
         Takes connections back.
+    asker : ServerAsker
+        Finds out whether a server has gone down.
     ledger : CrashLedger
         Suspects of crashes.
     report_crash : callable
@@ -104,6 +101,7 @@
     """
 
     __slots__ = (
+        "_asker",
         "_clock",
         "_connections",
         "_digests",
@@ -115,10 +113,12 @@
     def __init__(
         self,
         pool: ConnectionPool,
+        asker: ServerAsker,
         ledger: CrashLedger,
         report_crash: Callable[[str, list[bytes]], None],
         clock: Clock,
     ) -> None:
+        self._asker = asker
         self._clock = clock
         self._connections: set[ServerConnection] = set()
         self._report_crash = report_crash
@@ -229,18 +229,10 @@
         return SendResult(SendOutcome.ANSWERED, answer)
 
     async def _async_check_crash(self, server: ServerView) -> None:
-        """Suspect what a server was running when it takes no connection any more."""
+        """Suspect what a server was running when it has gone down."""
         suspects = list(self._digests.get(server.vm_id, ()))
-        try:
-            connection = await self._pool.async_open(server.address, server.port)
-        except ServerUnreachableError:
-            self._note_crash(server, suspects)
-            return
-        # A process that dies may have its listener closed after its connections.
-        await sleep(CRASH_CHECK_S)
-        if not connection.is_quiet():
+        if await self._asker.async_is_down(server):
             self._note_crash(server, suspects)
-        self._pool.release(server, connection)
 
     def _note_crash(self, server: ServerView, suspects: list[bytes]) -> None:
         """Note a crash of a server."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -190,7 +190,7 @@
         chooser = PlacementChooser(random, settings.availability_zone)
         self._asker = ServerAsker(self._pool, names, clock)
         self._sender = RequestSender(
-            self._pool, self._ledger, self._report_crash, clock
+            self._pool, self._asker, self._ledger, self._report_crash, clock
         )
         self._forwarder = Forwarder(
             settings,
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/pool.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/pool.py
@@ -40,7 +40,20 @@
 
 
 class ServerUnreachableError(Exception):
-    """No connection to a backend server could be opened; nothing was sent."""
+    """No connection to a backend server could be opened; nothing was sent.
+
+    Parameters
+    ----------
+    message : str
+        What happened.
+    is_refused : bool
+        Whether the server's host answered that nothing listens; otherwise the way
+        there may be cut as well.
+    """
+
+    def __init__(self, message: str, is_refused: bool = False) -> None:
+        super().__init__(message)
+        self.is_refused = is_refused
 
 
 class ConnectionPool:
@@ -99,7 +112,10 @@
                 now_s = self._clock.read_monotonic_s()
                 connection = await async_connect(address, port, now_s)
         except OSError as error:
-            raise ServerUnreachableError(f"connect failed: {error}") from error
+            is_refused = isinstance(error, ConnectionRefusedError)
+            raise ServerUnreachableError(
+                f"connect failed: {error}", is_refused
+            ) from error
         if connection is None:
             raise ServerUnreachableError("connect timed out")
         self.opened += 1
--- a/tests/cardamomtack_daemon/forwarding/test_life.py
+++ b/tests/cardamomtack_daemon/forwarding/test_life.py
@@ -268,6 +268,41 @@
 
         self.play(scenario, servers=5)
 
+    def test_server_that_takes_connections_and_answers_nothing_has_crashed(self):
+        async def scenario(vm, servers):
+            async def script(server, request, stream):
+                if request.target == b"/read/x":
+                    server.answers_checks = False
+                    await stream.aclose()
+                await async_answer(server, request, stream)
+
+            for server in servers:
+                server.script = script
+            for _ in range(4):
+                answer = await vm.async_call("read", "r-1")
+            self.assertEqual(answer.status, 503)
+            crashed = [server for server in servers if server.requests]
+            self.assertEqual(len(crashed), 2)
+
+        self.play(scenario, servers=5)
+
+    def test_server_that_cuts_connections_and_lives_has_not_crashed(self):
+        async def scenario(vm, servers):
+            async def script(server, request, stream):
+                await stream.aclose()
+
+            for server in servers:
+                server.script = script
+            for _ in range(4):
+                answer = await vm.async_call("read", "r-1")
+                self.assertEqual(answer.status, 502)
+            for server in servers:
+                server.script = async_answer
+            answer = await vm.async_call("read", "r-1")
+            self.assertEqual(answer.status, 200)
+
+        self.play(scenario, servers=5)
+
 
 class SilenceTest(ForwardingCase):
     """Servers that accept connections and never answer."""
--- a/tests/cardamomtack_daemon/traffic/test_dispatcher.py
+++ b/tests/cardamomtack_daemon/traffic/test_dispatcher.py
@@ -89,6 +89,8 @@
 
 
 class DispatcherTest(unittest.TestCase):
+    """A silent server, two that are down, and a good one."""
+
     def test_second_attempt_that_reaches_nobody_is_replaced(self):
         async def run():
             silent, good = ScriptedServer("silent"), ScriptedServer("good")
