--- a/packages/cardamomtack/src/cardamomtack/measuring/pacer.py
+++ b/packages/cardamomtack/src/cardamomtack/measuring/pacer.py
@@ -30,6 +30,12 @@
             self._total -= self._spent.popleft()[1]
         return self._total + amount <= self.limit
 
+    def find_room_share(self, now_s: float) -> float:
+        """Return the part of the limit that is left, from 0 to 1."""
+        if not self.has_room(now_s):
+            return 0.0
+        return 1.0 - self._total / self.limit
+
     def spend(self, amount: float, now_s: float) -> bool:
         """Return whether an amount may be spent now, and spend it."""
         if not self.has_room(now_s, amount):
@@ -64,6 +70,10 @@
         """Return whether one more check may be sent now."""
         return self._limit.has_room(now_s)
 
+    def find_room_share(self, now_s: float) -> float:
+        """Return the part of this VM's share that is left, from 0 to 1."""
+        return self._limit.find_room_share(now_s)
+
     def grant_checks(self, wanted: int, now_s: float) -> int:
         """Return how many of the wanted checks may be sent now, and spend them."""
         granted = 0
--- a/packages/cardamomtack/src/cardamomtack/placing/chooser.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/chooser.py
@@ -12,6 +12,8 @@
 
 from cardamomtack.placing.const import (
     ASKED_MAX,
+    ASKED_MIN,
+    ASKING_ROOM_SHARE,
     FAILURE_COST_FACTOR,
     FULL_SLOWDOWN,
     SPEED_HOLD_S,
@@ -82,6 +84,7 @@
         tried: set[str],
         is_own_zone: bool,
         now_s: float,
+        count: int = ASKED_MAX,
     ) -> list[ServerView]:
         """Return a few servers to ask, of the own zone or of the others.
 
@@ -89,6 +92,8 @@
         ----------
         tried : set of str
             Ids of servers that are left out.
+        count : int
+            Most servers to return.
         """
         usable = [
             server
@@ -98,9 +103,9 @@
             and server.entry.server_id not in tried
             and server.is_usable(now_s)
         ]
-        if len(usable) <= ASKED_MAX:
+        if len(usable) <= count:
             return usable
-        return self._random.sample(usable, ASKED_MAX)
+        return self._random.sample(usable, count)
 
     def sample_resting(self, service: ServiceView, tried: set[str]) -> list[ServerView]:
         """Return a few servers that rest after failures, when no other is left."""
@@ -142,6 +147,25 @@
         )
 
 
+def choose_sample_size(room_share: float) -> int:
+    """Return how many servers of a zone are asked.
+
+    Parameters
+    ----------
+    room_share : float
+        Part of the budget of health checks that is left, from 0 to 1.
+    """
+    return ASKED_MAX if room_share > ASKING_ROOM_SHARE else ASKED_MIN
+
+
+def assume_loads(service: ServiceView, servers: list[ServerView], now_s: float) -> None:
+    """Take servers that have not reported lately to be as busy as is usual."""
+    for server in servers:
+        report = service.expect_report(server.entry.slots)
+        if report is not None:
+            server.assume_report(report, now_s)
+
+
 def estimate_share(server: ServerView, work_s: float) -> float:
     """Return how many times as long as on an idle server the work will take."""
     report = server.report
--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import inf
 
 from cardamomtack.discovery.entry import ServerEntry
 from cardamomtack.placing.const import (
@@ -12,7 +13,9 @@
     FAILURE_GAIN,
     FAILURE_HALF_LIFE_S,
     FULL_SHARE,
+    REPORT_S_MAX,
     SILENCE_REST_S,
+    USUAL_GAIN,
 )
 
 SLOWNESS_USUAL = 1.0
@@ -24,11 +27,13 @@
 
     Attributes
     ----------
+    running : float
+        Requests that run; a fraction only in a report that is worked out.
     slowness : float
         How many times as long as usual work takes at this moment.
     """
 
-    running: int
+    running: float
     waiting: int
     slots: int
     slowness: float = SLOWNESS_USUAL
@@ -36,7 +41,7 @@
     def describe(self) -> str:
         """Return the load in words, for a log."""
         return (
-            f"{self.running} running, {self.waiting} waiting, {self.slots} slots, "
+            f"{self.running:g} running, {self.waiting} waiting, {self.slots} slots, "
             f"{self.slowness:g} times as slow as usual"
         )
 
@@ -65,6 +70,7 @@
         "_failed_in_row",
         "_failure_at_s",
         "_failure_share",
+        "_reported_at_s",
         "_silences",
         "_warm_at_s",
         "ejected_until_s",
@@ -79,6 +85,7 @@
         self._failed_in_row = 0
         self._failure_at_s = now_s
         self._failure_share = 0.0
+        self._reported_at_s = -inf
         self._silences = 0
         self._warm_at_s = now_s + entry.warm_up_left_s
         self.ejected_until_s = 0.0
@@ -132,8 +139,19 @@
         """Take a load report that has just arrived."""
         self.report = report
         self.sent_since_report = 0
+        self._reported_at_s = now_s
         self._silences = 0
 
+    def assume_report(self, report: LoadReport, now_s: float) -> None:
+        """Take a report worked out from other servers' in place of none or an old one.
+
+        Requests of this VM that have ended meanwhile no longer count beside it.
+        """
+        if now_s - self._reported_at_s <= REPORT_S_MAX:
+            return
+        self.report = report
+        self.sent_since_report = min(self.sent_since_report, self.in_flight)
+
     def record_send(self) -> None:
         """Count a request that is being sent."""
         self.in_flight += 1
@@ -197,13 +215,42 @@
         Whether its servers report their load; None before any has answered.
     """
 
-    __slots__ = ("members", "name", "tells_load")
+    __slots__ = ("_busy_share", "_slowness", "members", "name", "tells_load")
 
     def __init__(self, name: str) -> None:
+        self._busy_share: float | None = None
+        self._slowness = SLOWNESS_USUAL
         self.name = name
         self.members: list[ServerView] = []
         self.tells_load: bool | None = None
 
+    def record_report(self, report: LoadReport) -> None:
+        """Take the report of one server into the usual load of all."""
+        busy_share = (report.running + report.waiting) / report.slots
+        if self._busy_share is None:
+            self._busy_share = busy_share
+            self._slowness = report.slowness
+        self._busy_share += USUAL_GAIN * (busy_share - self._busy_share)
+        self._slowness += USUAL_GAIN * (report.slowness - self._slowness)
+
+    def expect_report(self, slots: int) -> LoadReport | None:
+        """Return the report to expect of a server that has not been asked.
+
+        Parameters
+        ----------
+        slots : int
+            Slots of the server.
+
+        Returns
+        -------
+        LoadReport or None
+            None before any server has reported.
+        """
+        if self._busy_share is None:
+            return None
+        slots = max(1, slots)
+        return LoadReport(self._busy_share * slots, 0, slots, self._slowness)
+
 
 def is_past_room(server: ServerView) -> bool:
     """Return whether a request would wait for a slot, or slow the others down.
@@ -217,6 +264,6 @@
     return count_ahead(server, report) + 1 > FULL_SHARE * report.slots
 
 
-def count_ahead(server: ServerView, report: LoadReport) -> int:
+def count_ahead(server: ServerView, report: LoadReport) -> float:
     """Return how many requests a server runs and holds, with those sent since."""
     return report.running + report.waiting + server.sent_since_report
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/asking.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/asking.py
@@ -8,6 +8,7 @@
 
 from cardamomtack.helpers.clock import Clock
 from cardamomtack.measuring.pacer import CheckPacer
+from cardamomtack.placing.chooser import choose_sample_size
 from cardamomtack.placing.server import ServerView, ServiceView
 from cardamomtack_daemon.forwarding.const import (
     ASK_TIMEOUT_S,
@@ -134,6 +135,12 @@
         """Return whether no further health check may be sent now."""
         return not self.pacer.can_check(self._clock.read_monotonic_s())
 
+    @property
+    def sample_size(self) -> int:
+        """Return how many servers of a zone are asked now."""
+        now_s = self._clock.read_monotonic_s()
+        return choose_sample_size(self.pacer.find_room_share(now_s))
+
     def release(self, asked: list[AskedServer], chosen: AskedServer | None) -> None:
         """Give back the connections of the servers that were not chosen."""
         for one in asked:
@@ -213,6 +220,7 @@
         report = self._names.parse_load(value) if value is not None else None
         if report is not None:
             service.tells_load = True
+            service.record_report(report)
             server.record_report(report, self._clock.read_monotonic_s())
         elif service.tells_load is None and answer.status == STATUS_OK:
             service.tells_load = False
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -9,8 +9,12 @@
     is_good_enough,
     is_worth_placing,
 )
-from cardamomtack.placing.chooser import PlacementChooser, WorkEstimates
-from cardamomtack.placing.server import ServiceView, is_past_room
+from cardamomtack.placing.chooser import (
+    PlacementChooser,
+    WorkEstimates,
+    assume_loads,
+)
+from cardamomtack.placing.server import ServerView, ServiceView, is_past_room
 from cardamomtack_daemon.forwarding.asking import AskedServer, ServerAsker
 from cardamomtack_daemon.forwarding.call import ForwardedCall
 from cardamomtack_daemon.pool import (
@@ -78,9 +82,10 @@
             asked = await self._asker.async_ask(service, resting)
             best = self._choose(asked, work_s)
         if best is None and self._asker.is_exhausted:
-            best = await self._async_place_unasked(service, call)
-        self._note_choice(service, best, call, work_s)
-        if best is not None and not self._is_worth_it(best, call, work_s):
+            return await self._async_place_unasked(service, call)
+        chosen = best.server if best is not None else None
+        self._note_choice(service, chosen, call, work_s)
+        if chosen is not None and not self._is_worth_it(chosen, call, work_s):
             best = None
         self._asker.release(asked, best)
         return best
@@ -88,7 +93,7 @@
     def _note_choice(
         self,
         service: ServiceView,
-        best: AskedServer | None,
+        best: ServerView | None,
         call: ForwardedCall,
         work_s: float,
     ) -> None:
@@ -97,14 +102,16 @@
         call.usable = sum(server.is_usable(now_s) for server in service.members)
         call.estimate_s = None
         if best is not None:
-            call.estimate_s = self._chooser.estimate_s(best.server, work_s, now_s)
+            call.estimate_s = self._chooser.estimate_s(best, work_s, now_s)
 
     async def _async_ask(
         self, service: ServiceView, call: ForwardedCall, is_own_zone: bool
     ) -> list[AskedServer]:
         """Ask a few servers of the own zone, or of the others."""
         now_s = self._clock.read_monotonic_s()
-        servers = self._chooser.sample_servers(service, call.tried, is_own_zone, now_s)
+        servers = self._chooser.sample_servers(
+            service, call.tried, is_own_zone, now_s, self._asker.sample_size
+        )
         asked = await self._asker.async_ask(service, servers)
         # A server may have left while it was asked.
         now_s = self._clock.read_monotonic_s()
@@ -130,33 +137,33 @@
         return is_good_enough(estimate_s, objective_left_s)
 
     def _is_worth_it(
-        self, best: AskedServer, call: ForwardedCall, work_s: float
+        self, server: ServerView, call: ForwardedCall, work_s: float
     ) -> bool:
         """Return whether the call is sent although the server may be full."""
         now_s = self._clock.read_monotonic_s()
         times = PlacementTimes(
-            self._chooser.estimate_s(best.server, work_s, now_s),
+            self._chooser.estimate_s(server, work_s, now_s),
             call.objective_s - now_s,
             call.deadline_s - now_s,
         )
-        return is_worth_placing(times, call.route.priority, is_past_room(best.server))
+        return is_worth_placing(times, call.route.priority, is_past_room(server))
 
     async def _async_place_unasked(
         self, service: ServiceView, call: ForwardedCall
     ) -> AskedServer | None:
-        """Return a server of a service that tells no load."""
+        """Return a server that is not asked, or None when none takes the call.
+
+        Its service tells no load, or no health check may be sent now.
+        """
         work_s = self.estimates.find_work_s(call.route.name)
         tried = set(call.tried)
         while self._clock.read_monotonic_s() < call.deadline_s:
-            now_s = self._clock.read_monotonic_s()
-            servers = self._chooser.sample_servers(service, tried, True, now_s)
-            servers += self._chooser.sample_servers(service, tried, False, now_s)
-            server = self._chooser.choose_server(servers, work_s, now_s)
-            if server is None:
-                resting = self._chooser.sample_resting(service, tried)
-                server = self._chooser.choose_server(resting, work_s, now_s)
+            server = self._choose_unasked(service, tried, work_s)
+            self._note_choice(service, server, call, work_s)
             if server is None:
                 return None
+            if service.tells_load and not self._is_worth_it(server, call, work_s):
+                return None
             try:
                 connection = await self._pool.async_acquire(
                     server, CONNECTION_IDLE_S_MAX
@@ -169,3 +176,15 @@
                 return AskedServer(server, connection)
             self._pool.discard(connection)
         return None
+
+    def _choose_unasked(
+        self, service: ServiceView, tried: set[str], work_s: float
+    ) -> ServerView | None:
+        """Return a server by what is known without asking, or None."""
+        now_s = self._clock.read_monotonic_s()
+        servers = self._chooser.sample_servers(service, tried, True, now_s)
+        servers += self._chooser.sample_servers(service, tried, False, now_s)
+        if not servers:
+            servers = self._chooser.sample_resting(service, tried)
+        assume_loads(service, servers, now_s)
+        return self._chooser.choose_server(servers, work_s, now_s)
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
@@ -2,17 +2,24 @@
 
 from __future__ import annotations
 
+from math import inf
 from random import Random
 from typing import Protocol
 
 from cardamomtack.discovery.entry import ServerEntry
+from cardamomtack.measuring.pacer import CheckPacer
 from cardamomtack.placing.admission import (
     PlacementTimes,
     choose_retry_after_s,
     is_good_enough,
     is_worth_placing,
 )
-from cardamomtack.placing.chooser import PlacementChooser, WorkEstimates
+from cardamomtack.placing.chooser import (
+    PlacementChooser,
+    WorkEstimates,
+    assume_loads,
+    choose_sample_size,
+)
 from cardamomtack.placing.server import ServerView, ServiceView, is_past_room
 from cardamomtack_standins.model.load import KindLoad
 from cardamomtack_standins.model.server import ModelServer
@@ -105,6 +112,8 @@
         Whether requests may be refused; False switches that part off.
     asks : bool
         Whether servers are asked; False leaves what answers tell.
+    checks_per_s : float
+        Health checks that this VM may send in a second.
     """
 
     def __init__(
@@ -114,9 +123,12 @@
         availability_zone: str,
         refuses: bool = True,
         asks: bool = True,
+        checks_per_s: float = inf,
     ) -> None:
         super().__init__(servers, random)
         self._asks = asks
+        self._pacer = CheckPacer()
+        self._pacer.apply_bounds(checks_per_s, 1, 1)
         self._chooser = PlacementChooser(random, availability_zone)
         self._estimates = WorkEstimates()
         self._refuses = refuses
@@ -149,6 +161,8 @@
         ):
             asked += self._ask(False, now_s)
             best = self._chooser.choose_server(asked, work_s, now_s)
+        if best is None:
+            best = self._choose_unasked(work_s, now_s)
         if best is None:
             return choose_retry_after_s(deadline_s - now_s, self._random)
         times = PlacementTimes(
@@ -177,9 +191,22 @@
 
     def _ask(self, is_own_zone: bool, now_s: float) -> list[ServerView]:
         """Return a few servers with their reports of now."""
-        sample = self._chooser.sample_servers(self._service, set(), is_own_zone, now_s)
+        size = choose_sample_size(self._pacer.find_room_share(now_s))
+        sample = self._chooser.sample_servers(
+            self._service, set(), is_own_zone, now_s, size
+        )
+        if not self._asks:
+            return sample
+        sample = sample[: self._pacer.grant_checks(len(sample), now_s)]
         for view in sample:
-            if self._asks:
-                report = self._servers[int(view.vm_id)].write_report()
-                view.record_report(report, now_s)
+            report = self._servers[int(view.vm_id)].write_report()
+            self._service.record_report(report)
+            view.record_report(report, now_s)
         return sample
+
+    def _choose_unasked(self, work_s: float, now_s: float) -> ServerView | None:
+        """Return a server by what is known without asking."""
+        sample = self._chooser.sample_servers(self._service, set(), True, now_s)
+        sample += self._chooser.sample_servers(self._service, set(), False, now_s)
+        assume_loads(self._service, sample, now_s)
+        return self._chooser.choose_server(sample, work_s, now_s)
--- a/tests/cardamomtack/placing/test_played_load.py
+++ b/tests/cardamomtack/placing/test_played_load.py
@@ -144,6 +144,30 @@
             self.assertGreater(min(shares), 0.8, name)
 
 
+class BudgetOfChecksTest(unittest.TestCase):
+    """Far more requests than the budget of health checks allows to ask for.
+
+    50 VMs share 30 servers of 3 slots, each of which may be asked 42 times a second.
+    """
+
+    SHAPE = FleetShape(50, 30, 4, ServerTraits(slots=3, queue_max=6))
+    CHECKS_PER_S = 42.0 * 30 / 50
+
+    def make_bounded(self, servers, random, zone):
+        """Return the product's own policy with the budget of one VM."""
+        return AskingPolicy(servers, random, zone, checks_per_s=self.CHECKS_PER_S)
+
+    def test_overload_is_borne_as_well_as_with_any_number_of_checks(self):
+        for factor in (2.0, 3.0, 4.0, 6.0):
+            with self.subTest(factor):
+                plan = plan_desk(10.0, ((0.0, 10.0, factor),))
+                bounded = average(
+                    play(plan, self.make_bounded, self.SHAPE), read_credit
+                )
+                free = average(play(plan, make_asking, self.SHAPE), read_credit)
+                self.assertGreaterEqual(bounded, 0.9 * free)
+
+
 class RepeatedTest(unittest.TestCase):
     """A play is the same for the same seed."""
 
