--- a/packages/cardamomtack/src/cardamomtack/replicas/members.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/members.py
@@ -1,9 +1,11 @@
 """The entry VMs, and who of them reads the store for the others.
 
 The load that this answers: reads of the store are paid by the call, and 115 VMs that
-each read for themselves would pay for every change 115 times. A few VMs read, the
-others hear from them, and nobody is set aside: every VM ranks the VMs it knows alike,
-and takes over as soon as those before it are silent.
+each read for themselves would pay for every change 115 times; and bytes between
+availability zones are dear. Two VMs read, whatever the size of the fleet. In each zone
+a few VMs hear from them and the others of the zone from those few, so that the way to
+another zone is paid once for many. Nobody is set aside: every VM ranks the VMs it knows
+alike, and takes over as soon as those before it are silent.
 """
 
 from __future__ import annotations
@@ -14,8 +16,8 @@
 from cardamomtack.replicas.const import (
     DEAD_S_MAX,
     DEAD_S_MIN,
-    READERS_MIN,
-    VMS_PER_READER,
+    READERS,
+    VMS_PER_RELAY,
 )
 
 
@@ -91,18 +93,14 @@
         They are spread over the availability zones. A VM that is passed over reads
         only when all are, as in an outage of the store.
         """
-        known = self.list_members()
-        alive = [one for one in known if self.is_alive(one.vm_id, now_s)] or known
-        by_zone: dict[str, list[Member]] = {}
-        for member in sorted(alive, key=lambda one: one.vm_id):
-            by_zone.setdefault(member.availability_zone, []).append(member)
-        zones = [by_zone[zone] for zone in sorted(by_zone)]
-        wanted = max(READERS_MIN, ceil(len(alive) / VMS_PER_READER))
+        zones = self._rank_zones(now_s)
+        wanted = min(READERS, sum(len(zone) for zone in zones.values()))
+        ranked = [zones[name] for name in sorted(zones)]
         readers: list[Member] = []
         turn = 0
-        while len(readers) < min(wanted, len(alive)):
-            zone = zones[turn % len(zones)]
-            rank = turn // len(zones)
+        while len(readers) < wanted:
+            zone = ranked[turn % len(ranked)]
+            rank = turn // len(ranked)
             if rank < len(zone):
                 readers.append(zone[rank])
             turn += 1
@@ -115,16 +113,40 @@
     def choose_upstream(self, now_s: float) -> Member | None:
         """Return the VM from which this one hears of changes, None at the root.
 
-        Readers hear of news of the VMs from the root; the others prefer a reader of
-        their own zone.
+        The second reader hears of news of the VMs from the root, the relays of a zone
+        from a reader, and the other VMs from a relay of their zone.
         """
         readers = self.choose_readers(now_s)
         if readers[0] is self.own:
             return None
         if any(one is self.own for one in readers):
             return readers[0]
-        zone = self.own.availability_zone
-        near = [one for one in readers if one.availability_zone == zone]
-        choices = near or readers
-        # The VMs spread over the readers by their names.
+        relays = self._choose_relays(readers, now_s)
+        if any(one is self.own for one in relays):
+            return self._draw(readers)
+        return self._draw(relays or readers)
+
+    def _choose_relays(self, readers: list[Member], now_s: float) -> list[Member]:
+        """Return the VMs of this VM's zone from which the others of it hear."""
+        name = self.own.availability_zone
+        zone = self._rank_zones(now_s).get(name, [])
+        relays = [one for one in readers if one.availability_zone == name]
+        wanted = ceil(len(zone) / VMS_PER_RELAY)
+        relays += [one for one in zone if one not in relays]
+        return relays[:wanted]
+
+    def _draw(self, choices: list[Member]) -> Member:
+        """Return one of some VMs, by the own name, so that the VMs spread over them."""
         return choices[sum(self.own.vm_id.encode()) % len(choices)]
+
+    def _rank_zones(self, now_s: float) -> dict[str, list[Member]]:
+        """Return the VMs that are not passed over, ranked, by availability zone.
+
+        When all are passed over, as in an outage of the store, all are returned.
+        """
+        known = self.list_members()
+        alive = [one for one in known if self.is_alive(one.vm_id, now_s)] or known
+        zones: dict[str, list[Member]] = {}
+        for member in sorted(alive, key=lambda one: one.vm_id):
+            zones.setdefault(member.availability_zone, []).append(member)
+        return zones
--- a/packages/cardamomtack/src/cardamomtack/replicas/topic.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/topic.py
@@ -36,6 +36,7 @@
     """
 
     __slots__ = (
+        "_confirmation_listeners",
         "_confirmed_at_s",
         "_listeners",
         "_offsets",
@@ -46,6 +47,7 @@
     )
 
     def __init__(self, topic: str) -> None:
+        self._confirmation_listeners: list[Callable[[], None]] = []
         self._confirmed_at_s = -inf
         self._listeners: list[ChangeListener] = []
         self._offsets: dict[str, int] = {}
@@ -62,9 +64,17 @@
         """Call a relay with each range of records that is new here."""
         self._relays.append(relay)
 
+    def add_confirmation_listener(self, listener: Callable[[], None]) -> None:
+        """Call a listener whenever the store has confirmed the replica anew."""
+        self._confirmation_listeners.append(listener)
+
     def confirm(self, at_s: float) -> None:
         """Note that the store confirmed the replica as of a monotonic time."""
-        self._confirmed_at_s = max(self._confirmed_at_s, at_s)
+        if at_s <= self._confirmed_at_s:
+            return
+        self._confirmed_at_s = at_s
+        for listener in self._confirmation_listeners:
+            listener()
 
     def distrust(self) -> None:
         """Forget the confirmation, because the process has stood still."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -327,8 +327,6 @@
 
     def _is_reader(self) -> bool:
         """Return whether other VMs rely on what this one reads."""
-        if self._relay.has_subscribers:
-            return True
         return self._members.is_reader(self._clock.read_monotonic_s())
 
     def _read_servers_age_ms(self) -> int:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -10,6 +10,7 @@
     BrokenResourceError,
     ClosedResourceError,
     EndOfStream,
+    Event,
     WouldBlock,
     connect_tcp,
     create_memory_object_stream,
@@ -45,6 +46,7 @@
 from cardamomtack_daemon.replicas.const import (
     DIAL_PAUSE_S,
     DIAL_TIMEOUT_S,
+    FRESHNESS_GAP_S,
     FRESHNESS_S,
     OUTBOX_MAX,
     SILENCE_S_MAX,
@@ -77,6 +79,7 @@
     __slots__ = (
         "_apply_crash",
         "_clock",
+        "_confirmed",
         "_members",
         "_notices",
         "_replicas",
@@ -93,6 +96,7 @@
     ) -> None:
         self._apply_crash = apply_crash
         self._clock = clock
+        self._confirmed = Event()
         self._members = members
         self._notices: OrderedDict[str, CrashNotice] = OrderedDict()
         self._replicas = {replica.topic: replica for replica in replicas}
@@ -100,11 +104,7 @@
         self._upstream: Outbox | None = None
         for replica in replicas:
             replica.add_relay(self._relay_records)
-
-    @property
-    def has_subscribers(self) -> bool:
-        """Return whether other VMs hear from this one."""
-        return bool(self._subscribers)
+            replica.add_confirmation_listener(self._note_confirmed)
 
     def report_crash(self, notice: CrashNotice) -> None:
         """Tell all VMs of a crash that this VM has seen."""
@@ -309,10 +309,23 @@
         for outbox in list(self._subscribers):
             self._send(outbox, frame)
 
+    def _note_confirmed(self) -> None:
+        """Have the subscribers told that a topic was confirmed."""
+        if self._subscribers:
+            self._confirmed.set()
+
     async def _async_tell_freshness(self) -> None:
-        """Tell the subscribers at a fixed interval how fresh the topics are."""
+        """Tell the subscribers how fresh the topics are.
+
+        They are told as soon as a topic was confirmed, so that its age does not grow
+        from relay to relay, and at a fixed interval as a heartbeat.
+        """
         while True:
-            await sleep(FRESHNESS_S)
+            with move_on_after(FRESHNESS_S):
+                await self._confirmed.wait()
+            # Both topics are often confirmed together.
+            await sleep(FRESHNESS_GAP_S)
+            self._confirmed = Event()
             if self._subscribers:
                 frame = encode_frame(self._write_freshness())
                 for outbox in list(self._subscribers):
