--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -70,6 +70,7 @@
 
     __slots__ = (
         "_accepts_unframed",
+        "_buffer_bytes_max",
         "_buffered_bytes",
         "_collector",
         "_fault",
@@ -77,6 +78,7 @@
         "_is_cut",
         "_is_expired",
         "_is_head",
+        "_is_paused",
         "_transport",
         "_waiter",
         "has_sent",
@@ -88,6 +90,7 @@
 
     def __init__(self, now_s: float) -> None:
         self._accepts_unframed = False
+        self._buffer_bytes_max = STREAM_BUFFER_BYTES_MAX
         self._buffered_bytes = 0
         self._collector = AnswerCollector()
         self._fault: str | None = None
@@ -95,6 +98,7 @@
         self._is_cut = False
         self._is_expired = False
         self._is_head = False
+        self._is_paused = False
         self._transport: Transport | None = None
         self._waiter: Future[None] | None = None
         self.has_sent = False
@@ -122,7 +126,8 @@
             else:
                 self._fault = f"malformed answer: {error}"
         self._check_head()
-        if self._buffered_bytes > STREAM_BUFFER_BYTES_MAX and self._transport:
+        if self._buffered_bytes > self._buffer_bytes_max and self._transport:
+            self._is_paused = True
             self._transport.pause_reading()
         self._wake()
 
@@ -198,6 +203,8 @@
         BrokenAnswerError
             When the answer is cut, malformed or not delimited.
         """
+        self._buffer_bytes_max = buffer_bytes_max
+        self._resume()
         if not await self._async_wait_for_body(buffer_bytes_max, timeout_s):
             return None
         collector = self._collector
@@ -217,6 +224,7 @@
         BrokenAnswerError
             When the answer is cut or malformed.
         """
+        self._buffer_bytes_max = STREAM_BUFFER_BYTES_MAX
         while not self._collector.chunks:
             if self._collector.has_ended:
                 self._note_end()
@@ -280,13 +288,19 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    def _resume(self) -> None:
+        """Read on when there is room for more."""
+        is_over = self._buffered_bytes > self._buffer_bytes_max
+        if self._is_paused and not is_over and self._transport:
+            self._is_paused = False
+            self._transport.resume_reading()
+
     def _take_body(self) -> bytes:
         """Return and forget the collected body."""
         chunks = self._collector.chunks
         self._collector.chunks = []
-        if self._buffered_bytes > STREAM_BUFFER_BYTES_MAX and self._transport:
-            self._transport.resume_reading()
         self._buffered_bytes = 0
+        self._resume()
         return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
     def _note_end(self) -> None:
--- a/tests/cardamomtack_daemon/forwarding/test_answers.py
+++ b/tests/cardamomtack_daemon/forwarding/test_answers.py
@@ -49,6 +49,16 @@
     def test_whole(self):
         self.check(write_answer, 200, b"done")
 
+    def test_whole_of_any_size(self):
+        for size in (250_000, 300_000, 900_000, 1_100_000, 5_000_000):
+            with self.subTest(size):
+                body = b"x" * size
+                self.check(
+                    lambda request, body=body: write_answer(request, 200, body),
+                    200,
+                    body,
+                )
+
     def test_foreign_answer_first(self):
         self.check(lambda request: FOREIGN + write_answer(request), 200, b"done")
 
