--- a/packages/cardamomtack/src/cardamomtack/placing/admission.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/admission.py
@@ -41,17 +41,17 @@
     deadline_left_s: float
 
 
-def is_good_enough(estimate_s: float, objective_left_s: float) -> bool:
+def is_good_enough(cost_s: float, objective_left_s: float) -> bool:
     """Return whether a server of the own zone is taken without asking others.
 
     Parameters
     ----------
-    estimate_s : float
-        Until the server is expected to answer, in seconds.
+    cost_s : float
+        Until the server is expected to answer, with a penalty for doubt, in seconds.
     objective_left_s : float
         Until the latency objective is missed, in seconds.
     """
-    return estimate_s <= OWN_ZONE_OBJECTIVE_SHARE * objective_left_s
+    return cost_s <= OWN_ZONE_OBJECTIVE_SHARE * objective_left_s
 
 
 def is_worth_placing(times: PlacementTimes, priority: int, is_full: bool) -> bool:
--- a/packages/cardamomtack/src/cardamomtack/placing/budget.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/budget.py
@@ -52,12 +52,19 @@
         _drop_old(self._requests, now_s - self._window_s)
         self._requests.append(now_s)
 
-    def spend_send(self, now_s: float) -> bool:
-        """Return whether one further send may be made, and pay for it."""
+    def spend_send(self, now_s: float, part: float = 1.0) -> bool:
+        """Return whether one further send may be made, and pay for it.
+
+        Parameters
+        ----------
+        part : float
+            Part of the budget, from 0 to 1, on which this send may draw; what is
+            beyond is kept for sends that matter more.
+        """
         _drop_old(self._further, now_s - self._window_s)
         _drop_old(self._requests, now_s - self._window_s)
         allowed = len(self._requests) * self._share + self._slack
-        if len(self._further) + 1 > allowed * RETRY_BUDGET_SHARE:
+        if len(self._further) + 1 > allowed * RETRY_BUDGET_SHARE * part:
             self.refused += 1
             return False
         self._further.append(now_s)
--- a/packages/cardamomtack/src/cardamomtack/placing/chooser.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/chooser.py
@@ -121,15 +121,23 @@
         return self._random.sample(resting, ASKED_MAX)
 
     def estimate_s(self, server: ServerView, work_s: float, now_s: float) -> float:
-        """Return the seconds until the server's answer, with penalties for doubt."""
+        """Return the seconds until the server's answer."""
         estimate_s = work_s * estimate_share(server, work_s)
-        estimate_s *= 1.0 + FAILURE_COST_FACTOR * server.estimate_failure_share(now_s)
         if server.is_warming(now_s):
             estimate_s *= 1.0 + WARM_UP_COST_FACTOR
         if server.entry.availability_zone != self._availability_zone:
             estimate_s += ZONE_CROSSING_S
         return estimate_s
 
+    def estimate_cost_s(self, server: ServerView, work_s: float, now_s: float) -> float:
+        """Return the seconds until the server's answer, with a penalty for failures.
+
+        The penalty decides between servers. It does not make a server too slow for a
+        request: one that fails now and then is better than none.
+        """
+        doubt = FAILURE_COST_FACTOR * server.estimate_failure_share(now_s)
+        return self.estimate_s(server, work_s, now_s) * (1.0 + doubt)
+
     def choose_server(
         self, servers: list[ServerView], work_s: float, now_s: float
     ) -> ServerView | None:
@@ -140,7 +148,7 @@
         return min(
             servers,
             key=lambda server: (
-                self.estimate_s(server, work_s, now_s),
+                self.estimate_cost_s(server, work_s, now_s),
                 self._random.random(),
             ),
             default=None,
--- a/packages/cardamomtack/src/cardamomtack/placing/const.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/const.py
@@ -15,6 +15,12 @@
 FAILURE_HALF_LIFE_S: Final = 3.0
 FULL_SHARE: Final = 0.8
 FULL_SLOWDOWN: Final = 1.7
+HEDGE_BUDGET_SHARE: Final = 0.5
+"""Part of the retry budget that second sends beside a late one may draw on."""
+
+HEDGE_S_MIN: Final = 0.1
+LATE_FACTOR: Final = 2.5
+OVERDUE_FACTOR: Final = 4.0
 OWN_ZONE_OBJECTIVE_SHARE: Final = 0.6
 REPORT_S_MAX: Final = 0.1
 RETRY_BUDGET_SHARE: Final = 0.7
--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/placing/hedging.py
@@ -0,0 +1,34 @@
+"""When a late answer makes a second send pay, and counts against its server.
+
+The load that this answers: servers that are well by their health checks but never
+answer some of the requests, or answer them many times later than usual, and answers
+that are lost on the way. A request that may run more than once goes to a second server
+while its caller still waits. A server that lets requests wait for far longer than its
+neighbours' noise explains gets fewer of the next ones, long before a deadline passes.
+"""
+
+from __future__ import annotations
+
+from cardamomtack.placing.const import HEDGE_S_MIN, LATE_FACTOR, OVERDUE_FACTOR
+
+
+def choose_patience_s(estimate_s: float) -> float:
+    """Return how long an answer may take before it counts as late, in seconds.
+
+    Parameters
+    ----------
+    estimate_s : float
+        Within which the server was expected to answer, in seconds.
+    """
+    return max(HEDGE_S_MIN, LATE_FACTOR * estimate_s)
+
+
+def choose_overdue_s(estimate_s: float) -> float:
+    """Return after how long a missing answer counts against its server, in seconds.
+
+    Parameters
+    ----------
+    estimate_s : float
+        Within which the server was expected to answer, in seconds.
+    """
+    return max(HEDGE_S_MIN, OVERDUE_FACTOR * estimate_s)
--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -174,6 +174,14 @@
         if self._failed_in_row >= EJECTION_FAILURES:
             self._eject(now_s)
 
+    def record_overdue(self, now_s: float) -> None:
+        """Note that a request waits for far too long.
+
+        The server is only passed over beside better ones: when all are pressed, many
+        requests are overdue, and the servers are needed.
+        """
+        self._move_failure_share(1.0, now_s)
+
     def record_silence(self, now_s: float) -> None:
         """Note that a question got no answer in time; the server rests a little.
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -5,9 +5,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 
 from cardamomtack.generated.logs import SendRecord
 from cardamomtack.helpers.clock import MS_PER_S, Clock
+from cardamomtack.placing.chooser import estimate_share
 from cardamomtack.placing.server import ServerView
 from cardamomtack.quarantine.ledger import CrashLedger
 from cardamomtack_daemon.forwarding.asking import AskedServer, ServerAsker
@@ -82,6 +84,137 @@
         self._pool.release(self._server, self._connection)
 
 
+class ServerSend:
+    """One send of a request to one server, from its first byte to its end.
+
+    Parameters
+    ----------
+    sender : RequestSender
+        What all sends share.
+    call : ForwardedCall
+        The request.
+    asked : AskedServer
+        Where it goes.
+    work_s : float
+        Work of the request on an idle server, in seconds.
+
+    Attributes
+    ----------
+    estimate_s : float
+        Within which the server was expected to answer, in seconds.
+    expected_share : float
+        How many times as long as on an idle server it was expected to take.
+    is_streaming : bool
+        Whether the rest of a long answer is still arriving.
+    record : SendRecord
+        What the log will tell of it.
+    started_s : float
+        Monotonic time of its start, in seconds.
+    """
+
+    __slots__ = (
+        "_has_begun",
+        "_sender",
+        "call",
+        "connection",
+        "estimate_s",
+        "expected_share",
+        "is_streaming",
+        "record",
+        "server",
+        "started_s",
+    )
+
+    def __init__(
+        self,
+        sender: RequestSender,
+        call: ForwardedCall,
+        asked: AskedServer,
+        work_s: float,
+    ) -> None:
+        self._has_begun = False
+        self._sender = sender
+        self.call = call
+        self.connection = asked.connection
+        self.estimate_s = call.estimate_s or work_s
+        self.expected_share = estimate_share(asked.server, work_s)
+        self.is_streaming = False
+        self.started_s = 0.0
+        self.server = asked.server
+        load = self.server.report.describe() if self.server.report is not None else ""
+        self.record = SendRecord(self.server.vm_id, SendOutcome.BROKEN.value, 0, load)
+
+    async def async_exchange(self, patience_s: float) -> SendResult | None:
+        """Send the request and return what became of it, or None when it takes longer.
+
+        Parameters
+        ----------
+        patience_s : float
+            How long to wait for the answer, in seconds.
+        """
+        self.started_s = self._sender.read_now_s()
+        self._has_begun = True
+        self._sender.begin(self)
+        call = self.call
+        try:
+            self.connection.send(
+                call.encode(self.server.vm_id, self.started_s),
+                call.request.method == b"HEAD",
+                call.owns_answer,
+                accepts_unframed=True,
+            )
+        except BrokenAnswerError as error:
+            return await self._async_break(error)
+        return await self.async_receive(patience_s)
+
+    async def async_receive(self, patience_s: float) -> SendResult | None:
+        """Return what became of the request, or None when it takes longer.
+
+        The deadline of the caller and the end of this VM end the wait for good.
+        """
+        left_s = self.call.deadline_s - self._sender.read_now_s()
+        try:
+            answer = await self.connection.async_receive(
+                ANSWER_BUFFER_BYTES_MAX, min(left_s, patience_s)
+            )
+        except BrokenAnswerError as error:
+            return await self._async_break(error)
+        if answer is not None:
+            result = self._sender.judge(self, answer)
+        elif patience_s < left_s and not self.connection.is_given_up:
+            return None
+        else:
+            result = SendResult(SendOutcome.OVERDUE)
+        return self._note_result(result)
+
+    async def async_finish(self) -> SendResult:
+        """Return what became of the request in the end."""
+        return await self.async_receive(inf) or SendResult(SendOutcome.OVERDUE)
+
+    def close(self) -> None:
+        """End the send.
+
+        An answer that has not arrived is given up: its connection is closed, and the
+        server drops the work.
+        """
+        if not self._has_begun:
+            return
+        self._has_begun = False
+        now_s = self._sender.read_now_s()
+        self.record.duration_ms = int((now_s - self.started_s) * MS_PER_S)
+        self._sender.end(self)
+
+    async def _async_break(self, error: BrokenAnswerError) -> SendResult:
+        """Return the result of a send whose connection broke."""
+        return self._note_result(await self._sender.async_break(self, error))
+
+    def _note_result(self, result: SendResult) -> SendResult:
+        """Note a result for the log."""
+        self.record.outcome = result.outcome.value
+        self.is_streaming = result.rest is not None
+        return result
+
+
 class RequestSender:
     """Sends requests to servers and judges their answers.
 
@@ -133,74 +266,52 @@
     def expire_all(self) -> None:
         """Have every call in flight end as at its deadline, because this VM ends."""
         for connection in list(self._connections):
-            connection.expire()
-
-    async def async_send(self, call: ForwardedCall, asked: AskedServer) -> SendResult:
-        """Send a request and return what became of it.
-
-        When it is cancelled, because the caller has gone, the connection is closed
-        and the server drops the work.
-        """
-        server = asked.server
-        connection = asked.connection
-        digests = self._digests.setdefault(server.vm_id, [])
-        started_s = self._clock.read_monotonic_s()
-        load = server.report.describe() if server.report is not None else ""
-        record = SendRecord(server.vm_id, SendOutcome.BROKEN.value, 0, load)
-        call.sends.append(record)
-        call.tried.add(server.vm_id)
-        server.record_send()
-        digests.append(call.digest)
-        self._connections.add(connection)
-        rest: AnswerRest | None = None
-        try:
-            result = await self._async_exchange(call, server, connection)
-            rest = result.rest
-        except BrokenAnswerError as error:
-            server.record_failure(self._clock.read_monotonic_s())
-            if error.is_cut:
-                await self._async_check_crash(server)
-            result = SendResult(SendOutcome.BROKEN)
-        finally:
-            digests.remove(call.digest)
-            if not digests:
-                self._digests.pop(server.vm_id, None)
-            self._connections.discard(connection)
-            if rest is None:
-                server.record_end()
-                self._pool.release(server, connection)
-            record.duration_ms = self._count_ms(started_s)
-        record.outcome = result.outcome.value
-        return result
-
-    def _count_ms(self, started_s: float) -> int:
-        """Return the milliseconds since a time."""
-        return int((self._clock.read_monotonic_s() - started_s) * MS_PER_S)
-
-    async def _async_exchange(
-        self, call: ForwardedCall, server: ServerView, connection: ServerConnection
+            connection.give_up()
+
+    def open_send(
+        self, call: ForwardedCall, asked: AskedServer, work_s: float
+    ) -> ServerSend:
+        """Return a send of a request that has not left yet."""
+        return ServerSend(self, call, asked, work_s)
+
+    def begin(self, send: ServerSend) -> None:
+        """Note that a send begins."""
+        send.call.sends.append(send.record)
+        send.call.tried.add(send.server.vm_id)
+        send.server.record_send()
+        self._digests.setdefault(send.server.vm_id, []).append(send.call.digest)
+        self._connections.add(send.connection)
+
+    def end(self, send: ServerSend) -> None:
+        """Note that a send has ended; a connection that isn't clean is closed."""
+        server = send.server
+        digests = self._digests[server.vm_id]
+        digests.remove(send.call.digest)
+        if not digests:
+            del self._digests[server.vm_id]
+        self._connections.discard(send.connection)
+        if not send.is_streaming:
+            server.record_end()
+            self._pool.release(server, send.connection)
+
+    def read_now_s(self) -> float:
+        """Return the monotonic time, in seconds."""
+        return self._clock.read_monotonic_s()
+
+    async def async_break(
+        self, send: ServerSend, error: BrokenAnswerError
     ) -> SendResult:
-        """Send the request on a connection and receive its answer.
+        """Return the result of a send that broke, and learn from it."""
+        send.server.record_failure(self.read_now_s())
+        if error.is_cut:
+            await self._async_check_crash(send.server)
+        return SendResult(SendOutcome.BROKEN)
 
-        Raises
-        ------
-        BrokenAnswerError
-            When the answer is cut or malformed.
-        """
-        now_s = self._clock.read_monotonic_s()
-        connection.send(
-            call.encode(server.vm_id, now_s),
-            call.request.method == b"HEAD",
-            call.owns_answer,
-            accepts_unframed=True,
-        )
-        left_s = call.deadline_s - now_s
-        answer = await connection.async_receive(ANSWER_BUFFER_BYTES_MAX, left_s)
-        if answer is None:
-            return SendResult(SendOutcome.OVERDUE)
-        result = self._judge(call, server, answer)
+    def judge(self, send: ServerSend, answer: HttpAnswer) -> SendResult:
+        """Return what an answer says of its request and its server."""
+        result = self._judge(send.call, send.server, answer)
         if not answer.is_whole and result.answer is not None:
-            result.rest = AnswerRest(self._pool, server, connection)
+            result.rest = AnswerRest(self._pool, send.server, send.connection)
         return result
 
     def _judge(
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -132,9 +132,9 @@
     def _is_good(self, best: AskedServer, call: ForwardedCall, work_s: float) -> bool:
         """Return whether no other zone needs to be asked."""
         now_s = self._clock.read_monotonic_s()
-        estimate_s = self._chooser.estimate_s(best.server, work_s, now_s)
+        cost_s = self._chooser.estimate_cost_s(best.server, work_s, now_s)
         objective_left_s = call.objective_s - now_s
-        return is_good_enough(estimate_s, objective_left_s)
+        return is_good_enough(cost_s, objective_left_s)
 
     def _is_worth_it(
         self, server: ServerView, call: ForwardedCall, work_s: float
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -64,6 +64,8 @@
         Monotonic times, in seconds.
     has_sent : bool
         Whether any byte of a request may have left.
+    is_given_up : bool
+        Whether nobody waits for the answer any more.
     requests : int
         Requests that were sent so far.
     """
@@ -82,6 +84,7 @@
         "_transport",
         "_waiter",
         "has_sent",
+        "is_given_up",
         "is_reusable",
         "opened_at_s",
         "requests",
@@ -102,6 +105,7 @@
         self._transport: Transport | None = None
         self._waiter: Future[None] | None = None
         self.has_sent = False
+        self.is_given_up = False
         self.is_reusable = True
         self.opened_at_s = now_s
         self.requests = 0
@@ -232,8 +236,13 @@
             await self._async_wait()
         return self._take_body()
 
-    def expire(self) -> None:
-        """Have the receiver of the answer give up at once, as at its timeout."""
+    def give_up(self) -> None:
+        """Have the receiver of the answer give up at once, for good."""
+        self.is_given_up = True
+        self._expire()
+
+    def _expire(self) -> None:
+        """Have the receiver of the answer see its timeout."""
         self._is_expired = True
         self._wake()
 
@@ -247,10 +256,10 @@
         self, buffer_bytes_max: int, timeout_s: float | None
     ) -> bool:
         """Wait for a whole or a long body and return whether it came in time."""
-        self._is_expired = False
+        self._is_expired = self.is_given_up
         timer = None
         if timeout_s is not None:
-            timer = get_running_loop().call_later(timeout_s, self.expire)
+            timer = get_running_loop().call_later(timeout_s, self._expire)
         try:
             while not self._collector.has_ended:
                 if self._buffered_bytes > buffer_bytes_max:
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
@@ -157,7 +157,7 @@
         asked = self._ask(True, now_s)
         best = self._chooser.choose_server(asked, work_s, now_s)
         if best is None or not is_good_enough(
-            self._chooser.estimate_s(best, work_s, now_s), objective_left_s
+            self._chooser.estimate_cost_s(best, work_s, now_s), objective_left_s
         ):
             asked += self._ask(False, now_s)
             best = self._chooser.choose_server(asked, work_s, now_s)
