--- a/packages/cardamomtack/src/cardamomtack/placing/budget.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/budget.py
@@ -2,7 +2,9 @@
 
 The load that this answers: servers that fail or refuse while many callers press.
 Each VM spends a share of its own requests and a fixed small slack, so the sum of the
-fleet stays within the bound, whatever part of the requests a VM gets.
+fleet stays within the bound, whatever part of the requests a VM gets. When all servers
+refuse a share of the requests, the budget does not reach for all; then the last of it
+goes to the more urgent kinds.
 """
 
 from __future__ import annotations
@@ -11,6 +13,9 @@
 
 from cardamomtack.placing.const import RETRY_BUDGET_SHARE
 
+PART_BY_PRIORITY = (1.0, 0.9, 0.8)
+"""Part of the budget on which further sends of a kind may draw."""
+
 
 class RetryBudget:
     """Bounds the further sends to one service in any window of time.
@@ -71,6 +76,17 @@
         return True
 
 
+def choose_budget_part(priority: int) -> float:
+    """Return the part of the budget on which a further send may draw.
+
+    Parameters
+    ----------
+    priority : int
+        0 is the most urgent.
+    """
+    return PART_BY_PRIORITY[min(max(priority, 0), len(PART_BY_PRIORITY) - 1)]
+
+
 def _drop_old(times: deque[float], until_s: float) -> None:
     """Drop the times before the window."""
     while times and times[0] <= until_s:
--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -174,11 +174,11 @@
         if self._failed_in_row >= EJECTION_FAILURES:
             self._eject(now_s)
 
-    def record_overdue(self, now_s: float) -> None:
-        """Note that a request waits for far too long.
+    def record_doubt(self, now_s: float) -> None:
+        """Note that a request waits for far too long, or was refused in spite of room.
 
-        The server is only passed over beside better ones: when all are pressed, many
-        requests are overdue, and the servers are needed.
+        The server is only passed over beside better ones: when all are pressed, such
+        things happen at many, and the servers are needed.
         """
         self._move_failure_share(1.0, now_s)
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -10,7 +10,7 @@
 from cardamomtack.generated.logs import SendRecord
 from cardamomtack.helpers.clock import MS_PER_S, Clock
 from cardamomtack.placing.chooser import estimate_share
-from cardamomtack.placing.server import ServerView
+from cardamomtack.placing.server import ServerView, is_past_room
 from cardamomtack.quarantine.ledger import CrashLedger
 from cardamomtack_daemon.forwarding.asking import AskedServer, ServerAsker
 from cardamomtack_daemon.forwarding.call import STATUS_MISDIRECTED, ForwardedCall
@@ -326,6 +326,8 @@
         if call.is_not_run(answer.status, answer.headers):
             if answer.status == STATUS_MISDIRECTED:
                 server.record_unreachable(now_s)
+            elif not is_past_room(server):
+                server.record_doubt(now_s)
             return SendResult(SendOutcome.NOT_RUN, answer)
         self._ledger.record_answer(call.digest)
         is_success = STATUS_SUCCESS_MIN <= answer.status <= STATUS_SUCCESS_MAX
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -12,7 +12,7 @@
 from cardamomtack.generated.logs import RequestDecision
 from cardamomtack.helpers.clock import MS_PER_S, Clock
 from cardamomtack.placing.admission import choose_retry_after_s
-from cardamomtack.placing.budget import RetryBudget
+from cardamomtack.placing.budget import RetryBudget, choose_budget_part
 from cardamomtack.placing.const import HEDGE_BUDGET_SHARE
 from cardamomtack.placing.hedging import choose_overdue_s, choose_patience_s
 from cardamomtack.placing.patience import CallerPatience
@@ -237,7 +237,8 @@
             if asked is None:
                 return self._finish(call, result, "no server can answer in time")
             if result is not None and not budget.spend_send(
-                self._clock.read_monotonic_s()
+                self._clock.read_monotonic_s(),
+                choose_budget_part(call.route.priority),
             ):
                 self._sender.give_back(asked)
                 return self._finish(call, result, "retry budget is spent")
@@ -276,7 +277,7 @@
             max(0.0, overdue_s - self._clock.read_monotonic_s())
         )
         if result is None:
-            send.server.record_overdue(self._clock.read_monotonic_s())
+            send.server.record_doubt(self._clock.read_monotonic_s())
             result = await send.async_finish()
         self._learn(send, result)
         return result
--- a/tests/cardamomtack/placing/test_decisions.py
+++ b/tests/cardamomtack/placing/test_decisions.py
@@ -12,7 +12,7 @@
     choose_retry_after_s,
     is_worth_placing,
 )
-from cardamomtack.placing.budget import RetryBudget
+from cardamomtack.placing.budget import RetryBudget, choose_budget_part
 from cardamomtack.placing.chooser import PlacementChooser
 from cardamomtack.placing.server import LoadReport, ServerView, ServiceView
 
@@ -189,6 +189,18 @@
         spent = sum(budget.spend_send(1.0) for budget in budgets for _ in range(100))
         self.assertLessEqual(spent, 60)
 
+    def test_last_of_the_budget_is_kept_for_urgent_kinds(self):
+        budget = RetryBudget()
+        budget.apply_bounds(0.0, 40.0, 10.0)
+        spent = [0, 0, 0]
+        for priority in (2, 1, 0):
+            while budget.spend_send(1.0, choose_budget_part(priority)):
+                spent[priority] += 1
+        self.assertGreater(min(spent), 0)
+        self.assertLessEqual(sum(spent), 40)
+        self.assertEqual(choose_budget_part(-1), 1.0)
+        self.assertEqual(choose_budget_part(99), choose_budget_part(2))
+
     def test_requests_are_forgotten_after_the_window_without_further_sends(self):
         budget = RetryBudget()
         budget.apply_bounds(0.2, 0.0, 10.0)
--- a/tests/cardamomtack_daemon/forwarding/test_late.py
+++ b/tests/cardamomtack_daemon/forwarding/test_late.py
@@ -117,3 +117,17 @@
             self.assertLessEqual(len(servers[0].requests), 3)
 
         self.play(scenario, servers=3)
+
+    def test_few_requests_go_to_a_server_that_refuses_in_spite_of_room(self):
+        async def refuse(server, request, stream):
+            await stream.send(write_not_run())
+
+        async def scenario(vm, servers):
+            servers[0].script = refuse
+            for number in range(30):
+                answer = await vm.async_call("book", f"b-{number}")
+                self.assertEqual(answer.status, 200)
+            # One in three would be chance.
+            self.assertLessEqual(len(servers[0].requests), 5)
+
+        self.play(scenario, servers=3)
