--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -351,6 +351,7 @@
         """Note a crash of a server."""
         server.record_unreachable(self._clock.read_monotonic_s())
         self._pool.drop_server(server.vm_id)
+        suspects = self._ledger.find_suspects(suspects)
         if suspects:
             incarnation = f"{server.vm_id}/{server.entry.incarnation}"
             self._report_crash(incarnation, suspects)
--- a/tests/cardamomtack/quarantine/test_ledger.py
+++ b/tests/cardamomtack/quarantine/test_ledger.py
@@ -5,7 +5,13 @@
 import unittest
 
 from cardamomtack.helpers.clock import ManualClock
-from cardamomtack.quarantine.const import QUARANTINE_S, SUSPECTS_MAX, SUSPICION_S
+from cardamomtack.quarantine.const import (
+    ANSWERED_KEPT,
+    INNOCENT_S,
+    QUARANTINE_S,
+    SUSPECTS_MAX,
+    SUSPICION_S,
+)
 from cardamomtack.quarantine.ledger import CrashLedger
 
 CRASHER = b"crasher"
@@ -29,6 +35,28 @@
         self.clock.advance(QUARANTINE_S)
         self.assertFalse(self.ledger.is_quarantined(CRASHER))
 
+    def test_request_that_is_answered_all_the_time_is_no_suspect(self):
+        self.ledger.record_answer(BYSTANDER)
+        self.clock.advance(INNOCENT_S / 2)
+        for server in ("s1", "s2", "s3"):
+            self.assertEqual(self.ledger.find_suspects([CRASHER, BYSTANDER]), [CRASHER])
+            self.ledger.record_crash(server, [CRASHER, BYSTANDER])
+        self.assertTrue(self.ledger.is_quarantined(CRASHER))
+        self.assertFalse(self.ledger.is_quarantined(BYSTANDER))
+
+    def test_answers_of_long_ago_prove_nothing(self):
+        self.ledger.record_answer(CRASHER)
+        self.clock.advance(2 * INNOCENT_S)
+        self.ledger.record_crash("s1", [CRASHER])
+        self.ledger.record_crash("s2", [CRASHER])
+        self.assertTrue(self.ledger.is_quarantined(CRASHER))
+
+    def test_memory_of_answers_is_bounded(self):
+        for index in range(2 * ANSWERED_KEPT):
+            self.ledger.record_answer(index.to_bytes(4, "big"))
+        digests = [index.to_bytes(4, "big") for index in range(2 * ANSWERED_KEPT)]
+        self.assertEqual(len(self.ledger.find_suspects(digests)), ANSWERED_KEPT)
+
     def test_one_crash_that_is_reported_twice_counts_once(self):
         self.ledger.record_crash("s1", [CRASHER])
         self.ledger.record_crash("s1", [CRASHER])
--- a/tests/cardamomtack_daemon/forwarding/servers.py
+++ b/tests/cardamomtack_daemon/forwarding/servers.py
@@ -104,6 +104,8 @@
         What came in, health checks left out.
     ran : list of str
         Ids of the requests that ran.
+    is_stopped : bool
+        Whether its process was ended and not started again.
     left : int
         Connections that the daemon closed while a request was under way.
     """
@@ -121,6 +123,7 @@
         self.checks = 0
         self.connections = 0
         self.left = 0
+        self.is_stopped = False
         self._scope = anyio.CancelScope()
 
     def make_entry(self, **changes: object) -> ServerEntry:
@@ -152,6 +155,7 @@
 
     def stop(self) -> None:
         """End the process: its listener and its connections."""
+        self.is_stopped = True
         self._scope.cancel()
 
     async def _async_serve_connection(self, stream: SocketStream) -> None:
--- /dev/null
+++ b/tests/cardamomtack_daemon/replicas/test_soak.py
@@ -0,0 +1,307 @@
+"""A soak: random faults of servers, VMs and the store, and what must hold throughout.
+
+``SOAK_S`` and ``SOAK_SEED`` make it longer or another one:
+``SOAK_S=600 SOAK_SEED=7 script/test tests/cardamomtack_daemon/replicas/test_soak.py``.
+"""
+
+from __future__ import annotations
+
+import os
+import unittest
+from collections import Counter
+from random import Random
+
+import anyio
+
+from tests.cardamomtack_daemon.forwarding.callers import CallerAnswer
+from tests.cardamomtack_daemon.forwarding.case import EntryVm
+from tests.cardamomtack_daemon.forwarding.memory import ROUTES, make_configuration
+from tests.cardamomtack_daemon.forwarding.servers import (
+    ScriptedServer,
+    write_answer,
+    write_not_run,
+)
+
+CALLS_PER_S = 50.0
+DEADLINE_MS = 1500
+DRAIN_S_MAX = 4.0
+"""Work that comes later than this after an entry says draining breaks a promise."""
+
+FAULT_GAP_S = 0.6
+FAULT_S = 2.5
+HEALED_S = 6.0
+LATE_S = 0.8
+SERVERS = 6
+VMS = 5
+FOREIGN = b"HTTP/1.1 200 X\r\ntest-id: other\r\ntest-signature: s\r\n"
+FOREIGN += b"content-length: 5\r\n\r\nother"
+
+MODES = ("shed", "fail", "cut", "foreign", "hang", "late", "short", "unsigned")
+
+
+class SoakServer(ScriptedServer):
+    """A server whose behaviour shifts, and that counts what it runs."""
+
+    def __init__(self, server_id: str, random: Random, runs: Counter) -> None:
+        super().__init__(server_id)
+        self.mode = "good"
+        self.drains_at_s = float("inf")
+        self.incarnation = 1
+        self.late_arrivals: list[str] = []
+        self._random = random
+        self._runs = runs
+        self.script = SoakServer.async_act
+
+    async def async_act(self, request, stream) -> None:
+        """Run a request as the mode of now says, half of the time."""
+        request_id = request.headers[b"test-id"].decode()
+        if anyio.current_time() > self.drains_at_s + DRAIN_S_MAX:
+            self.late_arrivals.append(request_id)
+        mode = self.mode if self._random.random() < 0.5 else "good"
+        if mode == "shed":
+            await stream.send(write_not_run())
+            return
+        self._runs[request_id] += 1
+        await anyio.sleep(self._random.uniform(0.0, 0.05))
+        whole = write_answer(request, 200, request_id.encode())
+        if mode == "fail":
+            await stream.send(write_answer(request, 500, b"no"))
+        elif mode == "hang":
+            await stream.receive()
+        elif mode in ("cut", "short"):
+            await stream.send(whole[:-3] if mode == "short" else b"")
+            await stream.aclose()
+        elif mode == "unsigned":
+            await stream.send(whole.replace(b"test-signature: signed\r\n", b""))
+        else:
+            await anyio.sleep(LATE_S if mode == "late" else 0.0)
+            await stream.send((FOREIGN if mode == "foreign" else b"") + whole)
+
+
+class Soak:
+    """A fleet, its faults, its callers, and what they saw."""
+
+    def __init__(self, seed: int, length_s: float) -> None:
+        self.random = Random(seed)
+        self.length_s = length_s
+        self.runs: Counter[str] = Counter()
+        self.answers: dict[str, CallerAnswer] = {}
+        self.findings: list[str] = []
+        self.version = 1
+        self.last = 0
+        self.store = EntryVm("vm-0", zone="zone-0")
+        self.vms = [self.store]
+        self.vms += [
+            EntryVm(f"vm-{number}", self.store, zone=f"zone-{number % 2}")
+            for number in range(1, VMS)
+        ]
+        self.scopes = [anyio.CancelScope() for _ in range(VMS)]
+        self.servers = [
+            SoakServer(f"server-{number}", self.random, self.runs)
+            for number in range(SERVERS)
+        ]
+
+    async def async_run(self) -> None:
+        """Play faults and callers, then only callers, and check what they saw."""
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            for server in self.servers:
+                await tasks.start(server.async_serve)
+                self.store.register(server.make_entry())
+            self.publish()
+            for number in range(VMS):
+                tasks.start_soon(self.async_run_vm, number)
+            for vm in self.vms:
+                await vm.async_wait_ready()
+            tasks.start_soon(self.async_watch_versions)
+            async with anyio.create_task_group() as callers:
+                with anyio.move_on_after(self.length_s):
+                    callers.start_soon(self.async_call_on, callers, self.length_s)
+                    await self.async_break_things()
+            await self.async_heal()
+            self.check()
+            tasks.cancel_scope.cancel()
+
+    async def async_run_vm(self, number: int) -> None:
+        """Run one VM until it is killed."""
+        with self.scopes[number]:
+            vm = self.vms[number]
+            await vm.daemon.async_serve(vm.stopping)
+
+    async def async_watch_versions(self) -> None:
+        """Note when the version in force goes back within one run of a VM."""
+        seen: dict[int, int] = {}
+        while True:
+            for vm in self.vms:
+                version = vm.daemon._routes.version
+                if version < seen.get(id(vm), -1):
+                    self.findings.append(f"{vm.settings.vm_id} went back to {version}")
+                seen[id(vm)] = version
+            await anyio.sleep(0.01)
+
+    async def async_call_on(self, callers, length_s: float) -> None:
+        """Send requests through all VMs."""
+        ends_s = anyio.current_time() + length_s
+        while anyio.current_time() < ends_s:
+            await anyio.sleep(self.random.expovariate(CALLS_PER_S))
+            callers.start_soon(self.async_call, self.random.choice(self.vms))
+
+    async def async_call(self, vm: EntryVm) -> None:
+        """Send one request and keep its answer."""
+        self.last += 1
+        is_booking = self.random.random() < 0.5
+        route, body = ("book", b"van") if is_booking else ("read", b"")
+        request_id = f"{route}-{self.last}"
+        try:
+            answer = await vm.async_call(route, request_id, body, DEADLINE_MS)
+        except (OSError, anyio.BrokenResourceError, TimeoutError):
+            return
+        self.answers[request_id] = answer
+
+    async def async_break_things(self) -> None:
+        """Break one thing after another until cancelled."""
+        acts = [
+            self.async_shift_server,
+            self.async_shift_server,
+            self.async_crash_server,
+            self.async_drain_server,
+            self.async_cut_store,
+            self.async_kill_vm,
+            self.async_publish,
+        ]
+        while True:
+            self.tasks.start_soon(self.random.choice(acts))
+            await anyio.sleep(self.random.expovariate(1.0 / FAULT_GAP_S))
+
+    async def async_shift_server(self) -> None:
+        """Let a server misbehave for a while."""
+        server = self.random.choice(self.servers)
+        server.mode = self.random.choice(MODES)
+        await anyio.sleep(FAULT_S)
+        server.mode = "good"
+
+    async def async_crash_server(self) -> None:
+        """Stop a server and start it again at its address, as another incarnation."""
+        server = self.random.choice(self.servers)
+        server.stop()
+        await anyio.sleep(self.random.uniform(0.1, 1.0))
+        if not server.is_stopped:
+            return
+        server.is_stopped = False
+        await self.tasks.start(server.async_serve)
+        self.register_anew(server)
+
+    async def async_drain_server(self) -> None:
+        """Let a server say that it drains, and be ready again later."""
+        server = self.random.choice(self.servers)
+        if server.drains_at_s < float("inf"):
+            return
+        self.store.register(
+            server.make_entry(is_draining=True, incarnation=server.incarnation)
+        )
+        if not any(vm.entries.is_out or vm.entries.is_silent for vm in self.vms):
+            server.drains_at_s = anyio.current_time()
+        await anyio.sleep(DRAIN_S_MAX + 1.0)
+        self.register_anew(server)
+
+    def register_anew(self, server: SoakServer) -> None:
+        """Register a server as another incarnation that is ready."""
+        server.incarnation += 1
+        server.drains_at_s = float("inf")
+        self.store.register(server.make_entry(incarnation=server.incarnation))
+
+    async def async_cut_store(self) -> None:
+        """Let the store refuse or ignore some or all VMs."""
+        for server in self.servers:
+            server.drains_at_s = max(server.drains_at_s, anyio.current_time() + FAULT_S)
+        vms = self.random.sample(self.vms, self.random.choice((1, 2, VMS)))
+        kind = self.random.choice(("is_out", "is_silent"))
+        for vm in vms:
+            setattr(vm.configuration, kind, True)
+            setattr(vm.entries, kind, True)
+        await anyio.sleep(FAULT_S)
+        for vm in vms:
+            setattr(vm.configuration, kind, False)
+            setattr(vm.entries, kind, False)
+
+    async def async_kill_vm(self) -> None:
+        """Kill a VM and start it again."""
+        number = self.random.randrange(1, VMS)
+        old = self.vms[number]
+        self.scopes[number].cancel()
+        await anyio.sleep(self.random.uniform(0.1, 1.0))
+        if self.vms[number] is not old:
+            return
+        vm = EntryVm(
+            old.settings.vm_id, self.store, zone=old.settings.availability_zone
+        )
+        self.vms[number] = vm
+        self.scopes[number] = anyio.CancelScope()
+        self.tasks.start_soon(self.async_run_vm, number)
+
+    async def async_publish(self) -> None:
+        """Write several configurations in quick succession."""
+        for _ in range(self.random.randint(1, 4)):
+            self.publish()
+            await anyio.sleep(0.02)
+
+    def publish(self) -> None:
+        """Write a configuration."""
+        self.version += 1
+        self.store.publish(make_configuration(self.version, ROUTES))
+
+    async def async_heal(self) -> None:
+        """Let all faults end and check that every VM serves again."""
+        await anyio.sleep(HEALED_S)
+        self.publish()
+        for server in self.servers:
+            server.mode = "good"
+        await anyio.sleep(HEALED_S)
+        for vm in self.vms:
+            answer = await vm.async_call("read", f"healed-{vm.settings.vm_id}")
+            if answer.status != 200:
+                self.findings.append(
+                    f"{vm.settings.vm_id} answers {answer.status}: {answer.body!r}"
+                )
+            if vm.daemon._routes.version != self.version:
+                self.findings.append(f"{vm.settings.vm_id} has an old version")
+
+    def check(self) -> None:
+        """Check what the callers saw against what ran."""
+        for request_id, answer in self.answers.items():
+            ran = self.runs[request_id]
+            is_own = ran and answer.body == request_id.encode()
+            if answer.status == 200 and answer.is_whole and not is_own:
+                self.findings.append(f"{request_id} got {answer.body!r}")
+            if answer.status in (429, 503) and ran and request_id[0] == "b":
+                self.findings.append(f"{request_id} got {answer.status} and ran")
+        for request_id, count in self.runs.items():
+            if count > (1 if request_id[0] == "b" else 2):
+                self.findings.append(f"{request_id} ran {count} times")
+        for server in self.servers:
+            for request_id in server.late_arrivals:
+                self.findings.append(
+                    f"{request_id} came to draining {server.server_id}"
+                )
+
+
+class SoakTest(unittest.TestCase):
+    """What must hold under any faults."""
+
+    def test_promises_hold(self):
+        length_s = float(os.environ.get("SOAK_S", "15"))
+        seed = int(os.environ.get("SOAK_SEED", "1"))
+
+        async def run():
+            soak = Soak(seed, length_s)
+            await soak.async_run()
+            statuses = Counter(answer.status for answer in soak.answers.values())
+            print(f"seed {seed}, {length_s:g} s: {dict(sorted(statuses.items()))}")
+            self.assertEqual(soak.findings, [])
+            self.assertGreater(statuses[200], 0.3 * soak.last)
+
+        anyio.run(run, backend_options={"use_uvloop": True})
+
+
+if __name__ == "__main__":
+    unittest.main()
