--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -326,7 +326,13 @@
             reader.refresh()
 
     def _is_reader(self) -> bool:
-        """Return whether other VMs rely on what this one reads."""
+        """Return whether other VMs rely on what this one reads.
+
+        A VM that knows no others yet reads once for itself, and does not take itself
+        for the only one.
+        """
+        if not self._membership.has_joined:
+            return False
         return self._members.is_reader(self._clock.read_monotonic_s())
 
     def _read_servers_age_ms(self) -> int:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/const.py
@@ -4,7 +4,7 @@
 
 BACKOFF_S_MAX: Final = 2.5
 BACKOFF_S_MIN: Final = 0.15
-BATCH_S: Final = 0.1
+BATCH_S: Final = 0.2
 DIAL_PAUSE_S: Final = 0.2
 DIAL_TIMEOUT_S: Final = 0.6
 FRESHNESS_GAP_S: Final = 0.05
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/membership.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/membership.py
@@ -34,9 +34,14 @@
         Their records at the store.
     random : Random
         Spreads the attempts of the VMs after an outage.
+
+    Attributes
+    ----------
+    has_joined : bool
+        Whether the VMs that the store knows are known here.
     """
 
-    __slots__ = ("_directory", "_members", "_random")
+    __slots__ = ("_directory", "_members", "_random", "has_joined")
 
     def __init__(
         self, members: MemberTable, directory: MemberDirectory, random: Random
@@ -44,6 +49,7 @@
         self._directory = directory
         self._members = members
         self._random = random
+        self.has_joined = False
 
     async def async_join(self) -> None:
         """Write and read once, as soon as the store allows it."""
@@ -64,6 +70,7 @@
                 await sleep(backoff_s * self._random.uniform(0.5, 1.0))
                 backoff_s = min(BACKOFF_S_MAX, 2.0 * backoff_s)
             else:
+                self.has_joined = True
                 logger.bind(vms=self._members.count).info("VMs are known")
                 return
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/reader.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/reader.py
@@ -159,7 +159,11 @@
         self._was_answered = True
 
     async def _async_back_off(self, error: SourceError) -> None:
-        """Wait before the next attempt, longer each time in a row."""
+        """Wait before the next attempt, longer each time in a row.
+
+        Others, or a VM that knows nothing yet, wait for what a reader reads, so it
+        does not wait for long. The other VMs hear from a reader when the store is back.
+        """
         if self._backoff_s == BACKOFF_S_MIN:
             logger.bind(topic=self._replica.topic, error=str(error)).warning(
                 "the store can't be read"
@@ -167,7 +171,8 @@
         self._note_answer(False)
         self._was_answered = False
         self._timeout_s = min(READ_TIMEOUT_S_MAX, 1.5 * self._timeout_s)
-        longest_s = READER_BACKOFF_S_MAX if self._is_reader() else BACKOFF_S_MAX
+        is_pressing = self._is_reader() or self._replica.end == END_UNKNOWN
+        longest_s = READER_BACKOFF_S_MAX if is_pressing else BACKOFF_S_MAX
         self._backoff_s = min(longest_s, 2.0 * self._backoff_s)
         self._wake = Event()
         with move_on_after(self._backoff_s * self._random.uniform(0.5, 1.0)):
