--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/hedging.py
@@ -0,0 +1,151 @@
+"""Sends of a call: one, and a second one beside it when its answer is late."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from anyio import create_task_group
+
+from cardamomtack.helpers.clock import Clock
+from cardamomtack.placing.budget import RetryBudget
+from cardamomtack.placing.const import HEDGE_BUDGET_SHARE
+from cardamomtack.placing.hedging import choose_overdue_s, choose_patience_s
+from cardamomtack.placing.server import is_past_room
+from cardamomtack.quarantine.ledger import CrashLedger
+from cardamomtack_daemon.forwarding.asking import AskedServer
+from cardamomtack_daemon.forwarding.attempt import RequestSender, ServerSend
+from cardamomtack_daemon.forwarding.call import ForwardedCall
+from cardamomtack_daemon.forwarding.outcome import SendOutcome, SendResult
+from cardamomtack_daemon.forwarding.placer import Placer
+
+OUTCOMES_BEST_FIRST = (
+    SendOutcome.ANSWERED,
+    SendOutcome.FAILED,
+    SendOutcome.BROKEN,
+    SendOutcome.OVERDUE,
+    SendOutcome.NOT_RUN,
+)
+"""Of two sends; one that proved not to have run says nothing of the other."""
+
+
+class HedgedSender:
+    """Sends calls, and learns from the time that their answers take.
+
+    Parameters
+    ----------
+    sender : RequestSender
+        Sends to servers.
+    placer : Placer
+        Finds servers for second sends.
+    ledger : CrashLedger
+        Requests that may crash servers.
+    find_budget : callable
+        Returns the budget of further sends to a service.
+    clock : Clock
+        Tells the time.
+    """
+
+    __slots__ = ("_clock", "_find_budget", "_ledger", "_placer", "_sender")
+
+    def __init__(
+        self,
+        sender: RequestSender,
+        placer: Placer,
+        ledger: CrashLedger,
+        find_budget: Callable[[str], RetryBudget],
+        clock: Clock,
+    ) -> None:
+        self._clock = clock
+        self._find_budget = find_budget
+        self._ledger = ledger
+        self._placer = placer
+        self._sender = sender
+
+    async def async_send(self, call: ForwardedCall, asked: AskedServer) -> SendResult:
+        """Send a call once, and once more beside it when its answer is late."""
+        first = self._open_send(call, asked)
+        try:
+            result = await first.async_exchange(choose_patience_s(first.estimate_s))
+            if result is None:
+                result = await self._async_hedge(call, first)
+            else:
+                self._learn(first, result)
+        finally:
+            first.close()
+        return result
+
+    async def _async_hedge(self, call: ForwardedCall, first: ServerSend) -> SendResult:
+        """Wait on for a late answer, with a second send beside it where that pays."""
+        asked = await self._async_place_hedge(call)
+        if asked is None:
+            return await self._async_finish(first)
+        second = self._open_send(call, asked)
+        try:
+            return await self._async_race(first, second)
+        finally:
+            second.close()
+
+    async def _async_finish(self, send: ServerSend) -> SendResult:
+        """Wait on for an answer; one that is overdue counts against its server."""
+        overdue_s = send.started_s + choose_overdue_s(send.estimate_s)
+        result = await send.async_receive(
+            max(0.0, overdue_s - self._clock.read_monotonic_s())
+        )
+        if result is None:
+            send.server.record_doubt(self._clock.read_monotonic_s())
+            result = await send.async_finish()
+        self._learn(send, result)
+        return result
+
+    async def _async_place_hedge(self, call: ForwardedCall) -> AskedServer | None:
+        """Return a server with room for a second send, or None where it doesn't pay."""
+        if not call.route.is_idempotent or len(call.sends) >= call.route.attempts_max:
+            return None
+        # A request that may have crashed a server is not sent to two at a time.
+        if self._ledger.is_suspected(call.digest):
+            return None
+        asked = await self._placer.async_place(call)
+        if asked is None:
+            return None
+        now_s = self._clock.read_monotonic_s()
+        budget = self._find_budget(call.service)
+        if not is_past_room(asked.server) and budget.spend_send(
+            now_s, HEDGE_BUDGET_SHARE
+        ):
+            return asked
+        self._sender.give_back(asked)
+        return None
+
+    async def _async_race(self, first: ServerSend, second: ServerSend) -> SendResult:
+        """Return the better result of two sends, as soon as one is good."""
+        results: list[SendResult] = []
+        async with create_task_group() as tasks:
+
+            async def take(send: ServerSend, is_begun: bool) -> None:
+                result = None if is_begun else await send.async_exchange(0.0)
+                if result is None:
+                    result = await self._async_finish(send)
+                results.append(result)
+                if result.outcome is SendOutcome.ANSWERED or len(results) > 1:
+                    tasks.cancel_scope.cancel()
+
+            tasks.start_soon(take, first, True)
+            tasks.start_soon(take, second, False)
+        best = min(results, key=lambda one: OUTCOMES_BEST_FIRST.index(one.outcome))
+        for result in results:
+            if result is not best and result.rest is not None:
+                await result.rest.async_release()
+        return best
+
+    def _open_send(self, call: ForwardedCall, asked: AskedServer) -> ServerSend:
+        """Return a send of a call."""
+        work_s = self._placer.estimates.find_work_s(call.route.name)
+        return self._sender.open_send(call, asked, work_s)
+
+    def _learn(self, send: ServerSend, result: SendResult) -> None:
+        """Learn from the time that an answer took."""
+        if result.outcome is SendOutcome.ANSWERED:
+            duration_s = self._clock.read_monotonic_s() - send.started_s
+            self._placer.estimates.record_answer(
+                send.call.route.name, duration_s, send.expected_share
+            )
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/outcome.py
@@ -0,0 +1,70 @@
+"""What became of a send, and the rest of a long answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from cardamomtack.placing.server import ServerView
+from cardamomtack_daemon.http1.client import ServerConnection
+from cardamomtack_daemon.http1.messages import HttpAnswer
+from cardamomtack_daemon.pool import ConnectionPool
+
+
+class SendOutcome(Enum):
+    """What became of a send."""
+
+    ANSWERED = "answered"
+    FAILED = "server answered with a failure"
+    NOT_RUN = "server proved that it did not run the request"
+    BROKEN = "no whole answer of the server; it may have run the request"
+    OVERDUE = "no answer before the deadline"
+
+
+@dataclass(slots=True)
+class SendResult:
+    """What a send brought.
+
+    Attributes
+    ----------
+    answer : HttpAnswer or None
+        The server's answer, for all outcomes that have one.
+    rest : AnswerRest or None
+        The source of the rest of a long answer.
+    """
+
+    outcome: SendOutcome
+    answer: HttpAnswer | None = None
+    rest: AnswerRest | None = None
+
+
+class AnswerRest:
+    """The rest of a long answer that is still arriving.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Takes the connection back.
+    server : ServerView
+        Where the answer comes from.
+    connection : ServerConnection
+        On which it arrives.
+    """
+
+    __slots__ = ("_connection", "_pool", "_server")
+
+    def __init__(
+        self, pool: ConnectionPool, server: ServerView, connection: ServerConnection
+    ) -> None:
+        self._connection = connection
+        self._pool = pool
+        self._server = server
+
+    async def async_receive_more(self) -> bytes | None:
+        """Return the next part of the body, or None after its end."""
+        return await self._connection.async_receive_more()
+
+    async def async_release(self) -> None:
+        """Give the connection back after the answer, whole or cut."""
+        self._server.record_end()
+        self._pool.release(self._server, self._connection)
