Let a part of the configuration that can't be used take out only itself

Now each member is checked by itself. Findings name their place and are logged once for each version.

--- a/packages/cardamomtack/src/cardamomtack/routing/coordinator.py
+++ b/packages/cardamomtack/src/cardamomtack/routing/coordinator.py
@@ -10,6 +10,8 @@
 from cardamomtack.routing.policy import FleetConfiguration
 from cardamomtack.routing.table import PrefixRoutes
 
+FINDINGS_LOGGED_MAX = 20
+
 
 class UnusableError(Exception):
     """A configuration record can't be used; the message says what and where."""
@@ -51,9 +53,12 @@
             try:
                 configuration = self._codec.decode_configuration(record)
             except UnusableError as error:
-                logger.bind(offset=record.offset, error=str(error)).error(
-                    "a configuration record can't be used"
-                )
+                kept = self._routes.configuration
+                logger.bind(
+                    offset=record.offset,
+                    error=str(error),
+                    in_force=kept.version if kept is not None else "none",
+                ).error("a configuration record can't be used")
                 continue
             if configuration is None:
                 continue
@@ -61,3 +66,18 @@
                 logger.bind(version=configuration.version, offset=record.offset).info(
                     "configuration in force"
                 )
+                self._log_findings(configuration)
+
+    def _log_findings(self, configuration: FleetConfiguration) -> None:
+        """Log what is not known in a version, once for each version."""
+        findings = configuration.findings
+        for finding in findings[:FINDINGS_LOGGED_MAX]:
+            logger.bind(version=configuration.version, finding=finding).warning(
+                "a part of the configuration can't be used"
+            )
+        if len(findings) > FINDINGS_LOGGED_MAX:
+            logger.bind(
+                version=configuration.version,
+                findings=len(findings),
+                logged=FINDINGS_LOGGED_MAX,
+            ).warning("more parts of the configuration can't be used")
--- a/packages/cardamomtack/src/cardamomtack/routing/policy.py
+++ b/packages/cardamomtack/src/cardamomtack/routing/policy.py
@@ -40,6 +40,8 @@
         Latency objective, in seconds.
     priority : int
         0 is the most urgent.
+    fault : str or None
+        Why its requests can't be served, in words; None when they can.
     """
 
     name: str
@@ -51,6 +53,7 @@
     timeout_s: float
     objective_s: float
     priority: int
+    fault: str | None = None
 
     @property
     def is_idempotent(self) -> bool:
@@ -93,9 +96,14 @@
     ----------
     version : int
         Grows with every accepted change, in uneven steps.
+    limits : CallerLimits or None
+        None when the version names none to use; those before stay in force.
+    findings : tuple of str
+        What is not known or can't be used in this version, each with its place.
     """
 
     version: int
     routes: tuple[RoutePolicy, ...]
     services: dict[str, BackendService]
-    limits: CallerLimits
+    limits: CallerLimits | None
+    findings: tuple[str, ...] = ()
--- a/packages/cardamomtack/src/cardamomtack/routing/table.py
+++ b/packages/cardamomtack/src/cardamomtack/routing/table.py
@@ -21,9 +21,18 @@
     ----------
     configuration : FleetConfiguration or None
         The version in force; None before the first.
+    limits : CallerLimits or None
+        The bounds of callers in force; None before the first.
     """
 
-    __slots__ = ("_hosts", "_listeners", "_random", "_splits", "configuration")
+    __slots__ = (
+        "_hosts",
+        "_listeners",
+        "_random",
+        "_splits",
+        "configuration",
+        "limits",
+    )
 
     def __init__(self, random: Random) -> None:
         self._hosts: dict[bytes, dict[bytes, RoutePolicy]] = {}
@@ -31,17 +40,13 @@
         self._random = random
         self._splits: dict[str, EvenSplit] = {}
         self.configuration: FleetConfiguration | None = None
+        self.limits: CallerLimits | None = None
 
     @property
     def version(self) -> int:
         """Return the version in force, or -1 before the first."""
         return self.configuration.version if self.configuration is not None else -1
 
-    @property
-    def limits(self) -> CallerLimits | None:
-        """Return the bounds of callers, or None before the first version."""
-        return self.configuration.limits if self.configuration is not None else None
-
     def add_listener(self, listener: Callable[[FleetConfiguration], None]) -> None:
         """Call a listener with each version that comes into force."""
         self._listeners.append(listener)
@@ -55,6 +60,8 @@
         for route in configuration.routes:
             routes = hosts.setdefault(route.host.lower().encode(), {})
             routes[route.path_prefix.encode()] = route
+            if len(route.parts) < 2:
+                continue
             known = self._splits.get(route.name)
             if known is None or known.parts != route.parts:
                 known = EvenSplit(route.parts, self._random)
@@ -62,6 +69,8 @@
         self._hosts = hosts
         self._splits = splits
         self.configuration = configuration
+        if configuration.limits is not None:
+            self.limits = configuration.limits
         for listener in self._listeners:
             listener(configuration)
         return True
@@ -88,6 +97,10 @@
             end = path.rfind(b"/", 0, end)
         return None
 
+    def has_service(self, name: str) -> bool:
+        """Return whether the version in force names a service."""
+        return self.configuration is not None and name in self.configuration.services
+
     def deal_service(self, route: RoutePolicy) -> str:
         """Return the service that the next request of a route goes to."""
         if len(route.parts) == 1:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -306,10 +306,11 @@
     def _apply_configuration(self, configuration: FleetConfiguration) -> None:
         """Take a new configuration."""
         limits = configuration.limits
-        self._limits.body_bytes_max = limits.body_bytes_max
-        self._limits.head_bytes_max = limits.header_bytes_max
-        self._limits.head_s = limits.header_timeout_s + HEAD_MARGIN_S
-        self._limits.idle_s = limits.idle_timeout_s + IDLE_MARGIN_S
+        if limits is not None:
+            self._limits.body_bytes_max = limits.body_bytes_max
+            self._limits.head_bytes_max = limits.header_bytes_max
+            self._limits.head_s = limits.header_timeout_s + HEAD_MARGIN_S
+            self._limits.idle_s = limits.idle_timeout_s + IDLE_MARGIN_S
         self._asker.health_paths = {
             name: service.health_path.encode()
             for name, service in configuration.services.items()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -139,19 +139,40 @@
 
     async def _async_route(self, request: HttpRequest) -> Handled:
         """Find the route of a request and answer it."""
+        call = self._open_call(request)
+        if not isinstance(call, ForwardedCall):
+            return call, None
+        if self._ledger.is_quarantined(call.digest):
+            detail = "this request crashed the backend servers that ran it"
+            return self._refuse_call(call, detail, SUSPECT_RETRY_AFTER_S)
+        if not self._routes.has_service(call.service):
+            detail = "the configuration does not name the service of this route"
+            return self._refuse_call(call, detail, UNCONFIGURED_RETRY_AFTER_S)
+        try:
+            handled, reason = await self._async_forward(call)
+        except CancelledError:
+            self._log_decision(call, 0, "caller has gone")
+            raise
+        self._log_decision(call, handled[0].status, reason)
+        return handled
+
+    def _open_call(self, request: HttpRequest) -> ForwardedCall | HttpAnswer:
+        """Return the call of a request, or the answer when it can't be forwarded."""
         if self._routes.configuration is None:
-            return _refuse("no configuration yet", UNCONFIGURED_RETRY_AFTER_S)
+            return _write_refusal("no configuration yet", UNCONFIGURED_RETRY_AFTER_S)
         host = request.find_header(b"host")
         if host is None:
-            return write_problem(400, "request has no Host", OUTCOME_NOT_RUN), None
+            return write_problem(400, "request has no Host", OUTCOME_NOT_RUN)
         route = self._routes.find_route(host, request.target)
         if route is None:
-            return write_problem(404, "no route matches", OUTCOME_NOT_RUN), None
+            return write_problem(404, "no route matches", OUTCOME_NOT_RUN)
+        if route.fault is not None:
+            return _write_refusal(route.fault, UNCONFIGURED_RETRY_AFTER_S)
         if self.is_refusing:
-            return _refuse("this VM is leaving", LEAVING_RETRY_AFTER_S)
+            return _write_refusal("this VM is leaving", LEAVING_RETRY_AFTER_S)
         request_id = request.find_header(self._names.request_id)
         if request_id is None:
-            return write_problem(400, "request has no id", OUTCOME_NOT_RUN), None
+            return write_problem(400, "request has no id", OUTCOME_NOT_RUN)
         now_s = self._clock.read_monotonic_s()
         wait_s = route.timeout_s
         waited_s = 0.0
@@ -160,8 +181,7 @@
             caller_s = int(deadline_ms) / MS_PER_S
             wait_s = min(wait_s, caller_s)
             waited_s = self._patience.estimate_waited_s(route.name, caller_s)
-        digest = digest_parts(host, request.method, request.target, request.body)
-        call = ForwardedCall(
+        return ForwardedCall(
             request,
             route,
             self._routes.deal_service(route),
@@ -170,20 +190,16 @@
             now_s,
             now_s + wait_s,
             now_s + route.objective_s - waited_s,
-            digest,
+            digest_parts(host, request.method, request.target, request.body),
         )
-        if self._ledger.is_quarantined(digest):
-            detail = "this request crashed the backend servers that ran it"
-            handled = _refuse(detail, SUSPECT_RETRY_AFTER_S)
-            self._log_decision(call, handled[0].status, detail)
-            return handled
-        try:
-            handled, reason = await self._async_forward(call)
-        except CancelledError:
-            self._log_decision(call, 0, "caller has gone")
-            raise
-        self._log_decision(call, handled[0].status, reason)
-        return handled
+
+    def _refuse_call(
+        self, call: ForwardedCall, reason: str, retry_after_s: float
+    ) -> Handled:
+        """Refuse a call and log why."""
+        answer = _write_refusal(reason, retry_after_s)
+        self._log_decision(call, answer.status, reason)
+        return answer, None
 
     def _log_decision(self, call: ForwardedCall, status: int, reason: str) -> None:
         """Log how a call ended, and what decided it."""
@@ -248,7 +264,7 @@
         now_s = self._clock.read_monotonic_s()
         if result is None or result.outcome is SendOutcome.NOT_RUN:
             retry_after_s = choose_retry_after_s(call.deadline_s - now_s, self._random)
-            return _refuse(reason, retry_after_s), reason
+            return (_write_refusal(reason, retry_after_s), None), reason
         if result.answer is not None:
             return (result.answer, result.rest), reason
         status = 504 if result.outcome is SendOutcome.OVERDUE else 502
@@ -280,6 +296,6 @@
     return known
 
 
-def _refuse(detail: str, retry_after_s: float) -> Handled:
+def _write_refusal(detail: str, retry_after_s: float) -> HttpAnswer:
     """Return the refusal of a request that has not run and will not run."""
-    return write_problem(503, detail, OUTCOME_NOT_RUN, retry_after_s), None
+    return write_problem(503, detail, OUTCOME_NOT_RUN, retry_after_s)
