Pass long bodies on as they arrive, in bounded memory; cut answers that do not end

Cause, bodies: a request was read whole before it was placed, so a VM held every body (64 MB each by the configuration, 200 MB a VM), and a body announced over the bound was refused only after as many bytes had arrived.

Now a body of more than 64 KiB is handed on while it arrives, with back-pressure from the server to the caller. Up to 1 MiB of a body is kept for a second server, as long as there is room, and only proof that it did not run sends it there. An early answer ends the body: the server's connection is not used again, the rest of the body is read for up to 2 s so that the answer is not lost in a reset. Announced lengths over the bound are refused before they are sent on.

Cause, endless answers: bytes before the head of an answer were not bounded (blank lines, a field without an end, answers to others), a connection on which bytes came after a whole answer stayed open, and the rest of a long answer had no deadline.

Now lines, heads and answers to others are bounded, bytes that nobody asked for close the connection, and a long answer ends at the caller's deadline.

Ruled out: a length limit for answers (memory is flat, callers decide by their deadline).

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -14,6 +14,7 @@
 from cardamomtack_daemon.forwarding.call import STATUS_MISDIRECTED, ForwardedCall
 from cardamomtack_daemon.forwarding.const import ANSWER_BUFFER_BYTES_MAX
 from cardamomtack_daemon.forwarding.outcome import AnswerRest, SendOutcome, SendResult
+from cardamomtack_daemon.http1.body import BodyAbortedError
 from cardamomtack_daemon.http1.client import BrokenAnswerError, ServerConnection
 from cardamomtack_daemon.http1.messages import HttpAnswer
 from cardamomtack_daemon.pool import ConnectionPool
@@ -49,7 +50,7 @@
     record : SendRecord
         What the log will tell of it.
     started_s : float
-        Monotonic time of its start, in seconds.
+        Monotonic time at which the request had left, in seconds.
     """
 
     __slots__ = (
@@ -102,11 +103,29 @@
                 call.request.method == b"HEAD",
                 call.owns_answer,
                 accepts_unframed=True,
+                is_whole=call.body.has_one_part,
             )
         except BrokenAnswerError as error:
             return await self._async_break(error)
         return await self.async_receive(patience_s)
 
+    async def async_send_body(self) -> None:
+        """Send the parts of a long body after the first, as the caller sends them."""
+        call = self.call
+        try:
+            index = 1
+            while (part := await call.body.async_read(index)) is not None:
+                await self.connection.async_send_more(call.frame_part(part), False)
+                index += 1
+        except BodyAbortedError:
+            # What the caller has not sent whole is answered by nobody.
+            self.connection.give_up()
+            return
+        last = call.frame_part(b"")
+        await self.connection.async_send_more(last, True)
+        # The time that the caller took says nothing of the server.
+        self.started_s = self._sender.read_now_s()
+
     async def async_receive(self, patience_s: float) -> SendResult | None:
         """Return what became of the request, or None when it takes longer.
 
@@ -251,7 +270,13 @@
         """Return what an answer says of its request and its server."""
         result = self._judge(send.call, send.server, answer)
         if not answer.is_whole and result.answer is not None:
-            result.rest = AnswerRest(self._pool, send.server, send.connection)
+            result.rest = AnswerRest(
+                self._pool,
+                send.server,
+                send.connection,
+                send.call.leaves_at_s,
+                self._clock,
+            )
         return result
 
     def _judge(
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/body.py
@@ -0,0 +1,85 @@
+"""The body of a request on its way to servers, whole or still arriving."""
+
+from __future__ import annotations
+
+from cardamomtack_daemon.http1.body import BodyMemory
+from cardamomtack_daemon.http1.messages import HttpRequest
+
+REPLAY_BYTES_MAX = 1_048_576
+"""Longest body that is kept for a second server."""
+
+
+class ForwardedBody:
+    """The parts of a body, which are kept for another server while there is room.
+
+    Parameters
+    ----------
+    request : HttpRequest
+        The request of the caller.
+    memory : BodyMemory
+        Bounds what is kept.
+
+    Attributes
+    ----------
+    is_kept : bool
+        Whether all parts that have arrived can be sent again.
+    """
+
+    __slots__ = ("_kept_bytes", "_memory", "_parts", "_rest", "is_kept")
+
+    def __init__(self, request: HttpRequest, memory: BodyMemory) -> None:
+        self._kept_bytes = 0
+        self._memory = memory
+        self._parts = [request.body]
+        self._rest = request.rest
+        self.is_kept = True
+
+    @property
+    def has_one_part(self) -> bool:
+        """Return whether the whole body is here, in one part."""
+        return self._rest is None and len(self._parts) == 1
+
+    @property
+    def first_part(self) -> bytes:
+        """Return the part that came with the head."""
+        return self._parts[0]
+
+    async def async_read(self, index: int) -> bytes | None:
+        """Return a part by its number, or None after the last one.
+
+        One reader at a time may wait for a part that has not arrived.
+
+        Raises
+        ------
+        BodyAbortedError
+            When the rest of the body will not arrive.
+        """
+        if self.is_kept and index < len(self._parts):
+            return self._parts[index]
+        if self._rest is None:
+            return None
+        part = await self._rest.async_receive_more()
+        if part is None:
+            self._rest = None
+            return None
+        self._keep(part)
+        return part
+
+    def release(self) -> None:
+        """Give back what was kept."""
+        self._memory.release(self._kept_bytes)
+        self._kept_bytes = 0
+        self._parts = []
+        self.is_kept = False
+
+    def _keep(self, part: bytes) -> None:
+        """Keep a part for another server, or nothing of the body from now on."""
+        if not self.is_kept:
+            return
+        size = len(part)
+        has_room = self._kept_bytes + size <= REPLAY_BYTES_MAX
+        if has_room and self._memory.reserve(size):
+            self._kept_bytes += size
+            self._parts.append(part)
+        else:
+            self.release()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
@@ -7,11 +7,13 @@
 from cardamomtack.generated.logs import SendRecord
 from cardamomtack.helpers.clock import MS_PER_S
 from cardamomtack.routing.policy import RoutePolicy
+from cardamomtack_daemon.forwarding.body import ForwardedBody
 from cardamomtack_daemon.forwarding.names import HeaderNames
 from cardamomtack_daemon.http1.messages import (
     HeaderList,
     HttpRequest,
-    encode_request,
+    encode_chunk,
+    encode_request_head,
     find_field,
 )
 
@@ -29,8 +31,12 @@
     arrived_s, deadline_s, objective_s : float
         Monotonic times of its arrival, of its deadline, and by which an answer is
         within the latency objective, in seconds.
+    leaves_at_s : float
+        Monotonic time until which the caller takes a long answer, in seconds.
     digest : bytes
-        Digest of host, method, target and body.
+        Digest of host, method, target and the beginning of the body.
+    body : ForwardedBody
+        The body, whole or still arriving.
     tried : set of str
         Ids of the servers that it was sent to or that did not take it.
     sends : list of SendRecord
@@ -49,14 +55,16 @@
     arrived_s: float
     deadline_s: float
     objective_s: float
+    leaves_at_s: float
     digest: bytes
+    body: ForwardedBody
     tried: set[str] = field(default_factory=set)
     sends: list[SendRecord] = field(default_factory=list)
     estimate_s: float | None = None
     usable: int = 0
 
     def encode(self, server_id: str, now_s: float) -> bytes:
-        """Return the request as it goes to a server.
+        """Return the head and the first part of the body as they go to a server.
 
         The deadline that is passed on is what is left of the caller's.
         """
@@ -67,7 +75,16 @@
         left_ms = max(1, int((self.deadline_s - now_s) * MS_PER_S))
         headers.append((names.deadline_ms, b"%d" % left_ms))
         headers.append((names.target_server, server_id.encode()))
-        return encode_request(request.method, request.target, headers, request.body)
+        head = encode_request_head(
+            request.method, request.target, headers, request.length
+        )
+        return head + self.frame_part(self.body.first_part)
+
+    def frame_part(self, part: bytes) -> bytes:
+        """Return a part of the body as it goes to a server; an empty one ends it."""
+        if self.request.length is not None:
+            return part
+        return encode_chunk(part)
 
     def owns_answer(self, status: int, headers: HeaderList) -> bool:
         """Return whether an answer belongs to this send."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -44,6 +44,7 @@
 from cardamomtack_daemon.forwarding.placer import Placer
 from cardamomtack_daemon.forwarding.readiness import ReadinessHandler
 from cardamomtack_daemon.forwarding.settings import EntrySettings
+from cardamomtack_daemon.http1.body import BodyMemory
 from cardamomtack_daemon.http1.connection import ConnectionLimits
 from cardamomtack_daemon.http1.server import CallerServer
 from cardamomtack_daemon.logs import DecisionLog, LineWriter
@@ -95,6 +96,11 @@
         Reads the settings again when a signal asks for it.
     writer : LineWriter or None
         Takes the lines of decisions; None leaves them out.
+
+    Attributes
+    ----------
+    memory : BodyMemory
+        What is held of the bodies of requests.
     """
 
     __slots__ = (
@@ -119,6 +125,7 @@
         "_settings",
         "_stopped",
         "_writer",
+        "memory",
     )
 
     def __init__(
@@ -187,6 +194,7 @@
         """Build the path of a request."""
         settings = self._settings
         clock = self._clock
+        self.memory = BodyMemory(settings.body_memory_bytes)
         chooser = PlacementChooser(random, settings.availability_zone)
         self._asker = ServerAsker(self._pool, names, clock)
         self._sender = RequestSender(
@@ -202,10 +210,15 @@
             clock,
             random,
             DecisionLog(self._writer, clock),
+            self.memory,
             self._read_servers_age_ms,
         )
         self._limits = ConnectionLimits(
-            BODY_BYTES_MAX, CALLER_CONNECTIONS_MAX, IDLE_S, cancels_abandoned=True
+            BODY_BYTES_MAX,
+            CALLER_CONNECTIONS_MAX,
+            IDLE_S,
+            cancels_abandoned=True,
+            memory=self.memory,
         )
         self._callers = CallerServer(self._forwarder, self._limits, clock)
         readiness_limits = ConnectionLimits(0, READINESS_CONNECTIONS_MAX, IDLE_S)
@@ -218,6 +231,11 @@
             return False
         return self._registry.is_known
 
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests are not answered yet."""
+        return self._forwarder.in_flight
+
     async def async_run(self) -> None:
         """Run until a signal asks for a graceful shutdown and it is done."""
         stopping = Event()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -17,6 +17,7 @@
 from cardamomtack.routing.table import PrefixRoutes
 from cardamomtack.util.digests import digest_parts
 from cardamomtack_daemon.forwarding.attempt import RequestSender
+from cardamomtack_daemon.forwarding.body import ForwardedBody
 from cardamomtack_daemon.forwarding.call import ForwardedCall
 from cardamomtack_daemon.forwarding.const import SUSPECT_RETRY_AFTER_S
 from cardamomtack_daemon.forwarding.hedging import HedgedSender
@@ -24,6 +25,7 @@
 from cardamomtack_daemon.forwarding.outcome import SendOutcome, SendResult
 from cardamomtack_daemon.forwarding.placer import Placer
 from cardamomtack_daemon.forwarding.settings import EntrySettings
+from cardamomtack_daemon.http1.body import BODY_WINDOW_BYTES, BodyMemory
 from cardamomtack_daemon.http1.messages import HttpAnswer, HttpRequest
 from cardamomtack_daemon.http1.problems import (
     OUTCOME_NOT_RUN,
@@ -36,6 +38,9 @@
 Handled = tuple[HttpAnswer, AnswerSource | None]
 
 LEAVING_RETRY_AFTER_S = 0.05
+UNBOUNDED_CALLER_S = 60.0
+"""For how long a caller without a deadline takes a long answer."""
+
 UNCONFIGURED_RETRY_AFTER_S = 0.3
 
 
@@ -62,6 +67,8 @@
         Spreads callers that come back.
     decisions : DecisionLog
         Takes how requests ended.
+    memory : BodyMemory
+        Bounds what is kept of bodies.
     read_servers_age_ms : callable
         Returns how long ago the store confirmed the servers, in milliseconds.
 
@@ -83,6 +90,7 @@
         "_decisions",
         "_hedged",
         "_ledger",
+        "_memory",
         "_names",
         "_patience",
         "_placer",
@@ -107,9 +115,11 @@
         clock: Clock,
         random: Random,
         decisions: DecisionLog,
+        memory: BodyMemory,
         read_servers_age_ms: Callable[[], int],
     ) -> None:
         self._decisions = decisions
+        self._memory = memory
         self._read_servers_age_ms = read_servers_age_ms
         self._budgets: dict[str, RetryBudget] = {}
         self._clock = clock
@@ -153,6 +163,8 @@
         except CancelledError:
             self._log_decision(call, 0, "caller has gone")
             raise
+        finally:
+            call.body.release()
         self._log_decision(call, handled[0].status, reason)
         return handled
 
@@ -175,6 +187,7 @@
             return write_problem(400, "request has no id", OUTCOME_NOT_RUN)
         now_s = self._clock.read_monotonic_s()
         wait_s = route.timeout_s
+        caller_s = UNBOUNDED_CALLER_S
         waited_s = 0.0
         deadline_ms = request.find_header(self._names.deadline_ms)
         if deadline_ms is not None and deadline_ms.isdigit():
@@ -190,7 +203,14 @@
             now_s,
             now_s + wait_s,
             now_s + route.objective_s - waited_s,
-            digest_parts(host, request.method, request.target, request.body),
+            now_s + max(wait_s, caller_s),
+            digest_parts(
+                host,
+                request.method,
+                request.target,
+                request.body[:BODY_WINDOW_BYTES],
+            ),
+            ForwardedBody(request, self._memory),
         )
 
     def _refuse_call(
@@ -253,7 +273,9 @@
             return False
         if result.outcome is not SendOutcome.NOT_RUN and not call.route.is_idempotent:
             return False
-        if result.rest is not None or len(call.sends) >= call.route.attempts_max:
+        if result.rest is not None or not call.body.is_kept:
+            return False
+        if len(call.sends) >= call.route.attempts_max:
             return False
         return self._clock.read_monotonic_s() < call.deadline_s
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/hedging.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/hedging.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 
 from anyio import create_task_group
 
@@ -65,6 +66,8 @@
         """Send a call once, and once more beside it when its answer is late."""
         first = self._open_send(call, asked)
         try:
+            if not call.body.has_one_part:
+                return await self._async_send_long(first)
             result = await first.async_exchange(choose_patience_s(first.estimate_s))
             if result is None:
                 result = await self._async_hedge(call, first)
@@ -74,6 +77,16 @@
             first.close()
         return result
 
+    async def _async_send_long(self, send: ServerSend) -> SendResult:
+        """Send a call while its body still arrives; an early answer ends the body."""
+        async with create_task_group() as tasks:
+            tasks.start_soon(send.async_send_body)
+            result = await send.async_exchange(inf)
+            tasks.cancel_scope.cancel()
+        result = result or SendResult(SendOutcome.OVERDUE)
+        self._learn(send, result)
+        return result
+
     async def _async_hedge(self, call: ForwardedCall, first: ServerSend) -> SendResult:
         """Wait on for a late answer, with a second send beside it where that pays."""
         asked = await self._async_place_hedge(call)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/outcome.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/outcome.py
@@ -5,8 +5,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from anyio import move_on_after
+
+from cardamomtack.helpers.clock import Clock
 from cardamomtack.placing.server import ServerView
-from cardamomtack_daemon.http1.client import ServerConnection
+from cardamomtack_daemon.http1.client import BrokenAnswerError, ServerConnection
 from cardamomtack_daemon.http1.messages import HttpAnswer
 from cardamomtack_daemon.pool import ConnectionPool
 
@@ -49,20 +52,40 @@
         Where the answer comes from.
     connection : ServerConnection
         On which it arrives.
+    ends_at_s : float
+        Monotonic time until which it may arrive, in seconds.
+    clock : Clock
+        Tells the time.
     """
 
-    __slots__ = ("_connection", "_pool", "_server")
+    __slots__ = ("_clock", "_connection", "_ends_at_s", "_pool", "_server")
 
     def __init__(
-        self, pool: ConnectionPool, server: ServerView, connection: ServerConnection
+        self,
+        pool: ConnectionPool,
+        server: ServerView,
+        connection: ServerConnection,
+        ends_at_s: float,
+        clock: Clock,
     ) -> None:
+        self._clock = clock
         self._connection = connection
+        self._ends_at_s = ends_at_s
         self._pool = pool
         self._server = server
 
     async def async_receive_more(self) -> bytes | None:
-        """Return the next part of the body, or None after its end."""
-        return await self._connection.async_receive_more()
+        """Return the next part of the body, or None after its end.
+
+        Raises
+        ------
+        BrokenAnswerError
+            When the answer is cut or malformed, or takes longer than its caller waits.
+        """
+        left_s = self._ends_at_s - self._clock.read_monotonic_s()
+        with move_on_after(left_s):
+            return await self._connection.async_receive_more()
+        raise BrokenAnswerError("answer takes longer than its caller waits", False)
 
     async def async_release(self) -> None:
         """Give the connection back after the answer, whole or cut."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/settings.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/settings.py
@@ -23,6 +23,8 @@
         Window of the retry budget, in seconds.
     checks_per_server_s : float
         Health checks that a server may get from the fleet, per second.
+    body_memory_bytes : int
+        Most that the bodies of all requests may hold together.
     grace_s : float
         Time between SIGTERM and SIGKILL, in seconds.
     """
@@ -37,4 +39,5 @@
     retry_slack: float
     retry_window_s: float
     checks_per_server_s: float
+    body_memory_bytes: int
     grace_s: float
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -22,7 +22,11 @@
 
 from httptools import HttpParserError
 
-from cardamomtack_daemon.http1.collector import AnswerCheck, AnswerCollector
+from cardamomtack_daemon.http1.collector import (
+    AnswerCheck,
+    AnswerCollector,
+    EndlessAnswerError,
+)
 from cardamomtack_daemon.http1.messages import HttpAnswer
 
 INFORMATIONAL_STATUS_MAX = 199
@@ -74,6 +78,7 @@
         "_accepts_unframed",
         "_buffer_bytes_max",
         "_buffered_bytes",
+        "_can_write",
         "_collector",
         "_fault",
         "_is_busy",
@@ -81,6 +86,7 @@
         "_is_expired",
         "_is_head",
         "_is_paused",
+        "_is_sending",
         "_transport",
         "_waiter",
         "has_sent",
@@ -95,6 +101,7 @@
         self._accepts_unframed = False
         self._buffer_bytes_max = STREAM_BUFFER_BYTES_MAX
         self._buffered_bytes = 0
+        self._can_write: Future[None] | None = None
         self._collector = AnswerCollector()
         self._fault: str | None = None
         self._is_busy = False
@@ -102,6 +109,7 @@
         self._is_expired = False
         self._is_head = False
         self._is_paused = False
+        self._is_sending = False
         self._transport: Transport | None = None
         self._waiter: Future[None] | None = None
         self.has_sent = False
@@ -116,21 +124,21 @@
         self._transport = cast("Transport", transport)
 
     def data_received(self, data: bytes) -> None:
-        """Parse what arrives; bytes that nobody asked for spoil the connection."""
+        """Parse what arrives; bytes that nobody asked for end the connection."""
         if not self._is_busy:
-            self.is_reusable = False
+            self.abort()
             return
         self._buffered_bytes += len(data)
         try:
-            self._collector.parser.feed_data(data)
-        except HttpParserError as error:
+            self._collector.feed(data)
+        except (EndlessAnswerError, HttpParserError) as error:
             # Bytes after a whole answer spoil the connection, not the answer.
             if self._collector.has_ended:
                 self._collector.surplus = True
             else:
                 self._fault = f"malformed answer: {error}"
         self._check_head()
-        if self._buffered_bytes > self._buffer_bytes_max and self._transport:
+        if self._has_long_body(self._buffer_bytes_max) and self._transport:
             self._is_paused = True
             self._transport.pause_reading()
         self._wake()
@@ -151,8 +159,19 @@
         """Note that the connection is gone."""
         self._is_cut = True
         self.is_reusable = False
+        self.resume_writing()
         self._wake()
 
+    def pause_writing(self) -> None:
+        """Make a long body wait until the server takes more."""
+        self._can_write = get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let a long body go on."""
+        if self._can_write is not None and not self._can_write.done():
+            self._can_write.set_result(None)
+        self._can_write = None
+
     def is_quiet(self) -> bool:
         """Return whether the connection is open and nothing has arrived on it."""
         return self.is_reusable and not self._is_cut
@@ -163,8 +182,9 @@
         is_head: bool,
         check: AnswerCheck | None = None,
         accepts_unframed: bool = False,
+        is_whole: bool = True,
     ) -> None:
-        """Send a request.
+        """Send a request, or the first part of it.
 
         Parameters
         ----------
@@ -172,6 +192,8 @@
             Tells which answers belong to the request; the others are passed over.
         accepts_unframed : bool
             Whether the clean end of the connection may end an answer.
+        is_whole : bool
+            Whether nothing of the request follows.
 
         Raises
         ------
@@ -185,13 +207,26 @@
         self._buffered_bytes = 0
         self._is_head = is_head
         self._is_busy = True
+        self._is_sending = not is_whole
         self.is_reusable = False
         self.has_sent = True
         self.requests += 1
-        # The size of requests is bounded, so what the server doesn't take at once
+        # The size of this part is bounded, so what the server doesn't take at once
         # waits in the transport, and only the answer is waited for.
         self._transport.write(data)
 
+    async def async_send_more(self, data: bytes, is_last: bool) -> None:
+        """Send the next part of a request once the server has taken most of the others.
+
+        A connection that is lost takes nothing more; its receiver learns of that.
+        """
+        if self._can_write is not None:
+            await self._can_write
+        if self._transport is None or self._is_cut:
+            return
+        self._transport.write(data)
+        self._is_sending = not is_last
+
     async def async_receive(
         self, buffer_bytes_max: int, timeout_s: float | None = None
     ) -> HttpAnswer | None:
@@ -262,7 +297,7 @@
             timer = get_running_loop().call_later(timeout_s, self._expire)
         try:
             while not self._collector.has_ended:
-                if self._buffered_bytes > buffer_bytes_max:
+                if self._has_long_body(buffer_bytes_max):
                     return True
                 if self._is_expired:
                     return False
@@ -292,6 +327,10 @@
         if self._fault is not None:
             raise BrokenAnswerError(self._fault, False)
 
+    def _has_long_body(self, bytes_max: int) -> bool:
+        """Return whether more than so many bytes of the answer have arrived."""
+        return self._collector.has_head and self._buffered_bytes > bytes_max
+
     def _wake(self) -> None:
         """Wake the task that waits."""
         if self._waiter is not None and not self._waiter.done():
@@ -323,6 +362,7 @@
             and not collector.foreign
             and not self._is_head
             and not self._is_cut
+            and not self._is_sending
             and not self._has_unsent()
             and collector.keep_alive
         )
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/collector.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/collector.py
@@ -8,10 +8,19 @@
 
 from cardamomtack_daemon.http1.messages import HeaderList
 
+FOREIGN_BYTES_MAX = 1_048_576
+HEAD_BYTES_MAX = 65_536
+LINE_BYTES_MAX = 65_536
+"""Most bytes that may bring no field, no part of a body and no end of an answer."""
+
 AnswerCheck = Callable[[int, HeaderList], bool]
 """Tells by status and head whether an answer belongs to the request sent last."""
 
 
+class EndlessAnswerError(Exception):
+    """A server sends bytes that do not become an answer."""
+
+
 class AnswerCollector:
     """Collects what the parser reports of one answer.
 
@@ -23,7 +32,11 @@
 
     __slots__ = (
         "_check",
+        "_foreign_bytes",
+        "_has_progress",
+        "_head_bytes",
         "_is_foreign",
+        "_stalled_bytes",
         "chunks",
         "foreign",
         "has_ended",
@@ -37,6 +50,10 @@
 
     def __init__(self, check: AnswerCheck | None = None) -> None:
         self._check = check
+        self._foreign_bytes = 0
+        self._has_progress = False
+        self._head_bytes = 0
+        self._stalled_bytes = 0
         self._is_foreign = False
         self.foreign = 0
         self.parser = HttpResponseParser(self)
@@ -48,13 +65,37 @@
         self.has_ended = False
         self.surplus = False
 
+    def feed(self, data: bytes) -> None:
+        """Parse what has arrived.
+
+        Raises
+        ------
+        EndlessAnswerError
+            When a head, a line or what precedes the answer is over its bound.
+        HttpParserError
+            When it is malformed.
+        """
+        self._has_progress = False
+        self.parser.feed_data(data)
+        self._stalled_bytes += len(data)
+        if self._has_progress:
+            self._stalled_bytes = 0
+        if self._stalled_bytes > LINE_BYTES_MAX:
+            raise EndlessAnswerError("a line of the answer does not end")
+        if self._head_bytes > HEAD_BYTES_MAX:
+            raise EndlessAnswerError("head of the answer is too large")
+        if self._foreign_bytes > FOREIGN_BYTES_MAX:
+            raise EndlessAnswerError("answers to other requests do not end")
+
     def on_message_begin(self) -> None:
         """Note a second answer, which nobody asked for."""
         self.surplus = self.has_ended
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header field."""
-        if self.has_ended:
+        """Collect a header field; fields after a body are only counted."""
+        self._has_progress = True
+        self._head_bytes += len(name) + len(value)
+        if self.has_ended or self.has_head:
             return
         name = name.lower()
         if name in (b"content-length", b"transfer-encoding"):
@@ -73,13 +114,19 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Collect a part of the body."""
-        if not self.has_ended and not self._is_foreign:
+        self._has_progress = True
+        if self._is_foreign:
+            self._foreign_bytes += len(chunk)
+        elif not self.has_ended:
             self.chunks.append(chunk)
 
     def on_message_complete(self) -> None:
         """Note that the answer is complete, or pass over one of another request."""
+        self._has_progress = True
         if self._is_foreign:
             self._is_foreign = False
+            self._foreign_bytes += self._head_bytes
+            self._head_bytes = 0
             self.foreign += 1
             self.headers = []
             self.is_framed = False
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
@@ -11,17 +11,41 @@
 from collections import deque
 from typing import Protocol, cast
 
-from anyio import CancelScope
+from anyio import CancelScope, move_on_after
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from cardamomtack.helpers.clock import Clock
-from cardamomtack_daemon.http1.messages import HeaderList, HttpAnswer, HttpRequest
-from cardamomtack_daemon.http1.problems import write_problem
+from cardamomtack_daemon.http1.body import (
+    BODY_WINDOW_BYTES,
+    READ_BYTES_MAX,
+    BodyAbortedError,
+    BodyMemory,
+    BodyStream,
+)
+from cardamomtack_daemon.http1.messages import (
+    HeaderList,
+    HttpAnswer,
+    HttpRequest,
+    find_field,
+)
+from cardamomtack_daemon.http1.problems import (
+    OUTCOME_NOT_RUN,
+    OUTCOME_UNKNOWN,
+    write_problem,
+)
+
+BODY_HELD_BYTES_MAX = BODY_WINDOW_BYTES + READ_BYTES_MAX
+"""What one request may hold of its body."""
 
 BODY_TIMEOUT_S = 30.0
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 HEAD_BYTES_MAX = 65536
 HEAD_TIMEOUT_S = 30.0
+LINGER_S = 2.0
+"""For how long the rest of a body is read after its request has been answered."""
+
 PIPELINED_MAX = 16
+RETRY_AFTER_MEMORY_S = 0.3
 
 
 class ConnectionOwner(Protocol):
@@ -49,6 +73,9 @@
     cancels_abandoned : bool
         Whether the work on a request ends when its caller has gone. Work that others
         wait for, as that on a claim, goes on.
+    memory : BodyMemory or None
+        Bounds what is held of the bodies of all requests, which are then handed on as
+        they arrive; None hands them on whole.
     """
 
     __slots__ = (
@@ -58,6 +85,7 @@
         "head_bytes_max",
         "head_s",
         "idle_s",
+        "memory",
     )
 
     def __init__(
@@ -66,6 +94,7 @@
         connections_max: int,
         idle_s: float,
         cancels_abandoned: bool = False,
+        memory: BodyMemory | None = None,
     ) -> None:
         self.body_bytes_max = body_bytes_max
         self.cancels_abandoned = cancels_abandoned
@@ -73,6 +102,7 @@
         self.head_bytes_max = HEAD_BYTES_MAX
         self.head_s = HEAD_TIMEOUT_S
         self.idle_s = idle_s
+        self.memory = memory
 
 
 class CallerGoneError(Exception):
@@ -93,6 +123,10 @@
 
     Attributes
     ----------
+    has_answered : bool
+        Whether any byte of the answer to the current request has been written.
+    refusal : HttpAnswer or None
+        The answer to what broke a bound or was malformed.
     scope : CancelScope or None
         Ends the work on the current request when the caller leaves.
     waits_since_s : float or None
@@ -113,11 +147,15 @@
         "_owner",
         "_parser",
         "_ready",
-        "_refusal",
+        "_reserved_bytes",
         "_size",
+        "_stream",
+        "_taken",
         "_target",
         "_transport",
         "_waiter",
+        "has_answered",
+        "refusal",
         "scope",
         "waits_since_s",
     )
@@ -138,11 +176,15 @@
         self._is_lost = False
         self._parser = HttpRequestParser(self)
         self._ready: deque[HttpRequest] = deque()
-        self._refusal: HttpAnswer | None = None
+        self._reserved_bytes: deque[int] = deque()
         self._size = 0
+        self._stream: BodyStream | None = None
+        self._taken: BodyStream | None = None
         self._target = b""
         self._transport: Transport | None = None
         self._waiter: Future[None] | None = None
+        self.has_answered = False
+        self.refusal: HttpAnswer | None = None
         self.scope: CancelScope | None = None
         self.waits_since_s: float | None = clock.read_monotonic_s()
 
@@ -157,7 +199,9 @@
         self._owner.add_connection(self)
 
     def data_received(self, data: bytes) -> None:
-        """Parse what arrives."""
+        """Parse what arrives; nothing counts after what was refused."""
+        if self.refusal is not None:
+            return
         if self._size == 0:
             self._began_at_s = self._clock.read_monotonic_s()
         self._size += len(data)
@@ -171,7 +215,7 @@
             self._refuse(431, "head of the request is too large")
         if len(self._ready) >= PIPELINED_MAX and self._transport is not None:
             self._transport.pause_reading()
-        if self._ready or self._refusal is not None:
+        if self._ready or self.refusal is not None:
             self._wake()
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -179,6 +223,8 @@
         self._is_lost = True
         self._wake()
         self.resume_writing()
+        if self._stream is not None:
+            self._stream.abort()
         if self.scope is not None:
             self.scope.cancel()
 
@@ -212,32 +258,90 @@
         self._head_size += len(name) + len(value)
 
     def on_headers_complete(self) -> None:
-        """Note that the head is complete, and check its size."""
+        """Note that the head is complete, and check what it announces."""
         self._has_head = True
         if self._head_size > self._limits.head_bytes_max:
             self._refuse(431, "head of the request is too large")
+            return
+        length = self._read_length()
+        if length is not None and length > self._limits.body_bytes_max:
+            self._refuse(413, "body of the request is too large")
+            return
+        self._reserve_body(length)
+        if self._is_asked_to_continue() and self._transport is not None:
+            self._transport.write(CONTINUE)
 
     def on_body(self, chunk: bytes) -> None:
-        """Collect a part of the body."""
+        """Collect a part of the body, or hand it on."""
+        if self.refusal is not None:
+            return
         self._body_size += len(chunk)
         if self._body_size > self._limits.body_bytes_max:
             self._refuse(413, "body of the request is too large")
             return
+        if self._stream is not None:
+            self._stream.feed(chunk)
+            return
         self._body.append(chunk)
+        if self._body_size > BODY_WINDOW_BYTES and self._limits.memory is not None:
+            self._stream = BodyStream(self._pause_reading, self._resume_reading)
+            self._hand_on(self._stream)
 
     def on_message_complete(self) -> None:
         """Complete a request."""
-        if self._refusal is not None:
+        if self.refusal is not None:
             return
+        if self._stream is not None:
+            self._stream.finish()
+            self._stream = None
+        else:
+            self._hand_on(None)
+        self._size = 0
+
+    def _hand_on(self, rest: BodyStream | None) -> None:
+        """Hand a request on, with the source of the rest of its body."""
         parser = self._parser
         is_current = parser.get_http_version() == "1.1"
-        keep_alive = parser.should_keep_alive() and is_current
         body = b"".join(self._body)
-        method = parser.get_method()
+        self._body = []
         self._ready.append(
-            HttpRequest(method, self._target, self._headers, body, keep_alive)
+            HttpRequest(
+                parser.get_method(),
+                self._target,
+                self._headers,
+                body,
+                parser.should_keep_alive() and is_current,
+                len(body) if rest is None else self._read_length(),
+                rest,
+            )
         )
-        self._size = 0
+
+    def _read_length(self) -> int | None:
+        """Return the length of the body that the head names; None in chunks."""
+        if find_field(self._headers, b"transfer-encoding") is not None:
+            return None
+        length = find_field(self._headers, b"content-length")
+        return int(length) if length is not None else 0
+
+    def _reserve_body(self, length: int | None) -> None:
+        """Reserve what the request may hold of its body, or refuse it."""
+        memory = self._limits.memory
+        if memory is None:
+            return
+        held_bytes = BODY_HELD_BYTES_MAX
+        if length is not None:
+            held_bytes = min(held_bytes, length)
+        if memory.reserve(held_bytes):
+            self._reserved_bytes.append(held_bytes)
+            return
+        detail = "this VM holds too many request bodies"
+        self._refuse(503, detail, RETRY_AFTER_MEMORY_S)
+
+    def _is_asked_to_continue(self) -> bool:
+        """Return whether the caller waits for leave to send the body."""
+        if find_field(self._headers, b"expect") is None or self.refusal is not None:
+            return False
+        return self.waits_since_s is not None and not self._ready
 
     async def async_read_request(self, clock: Clock) -> HttpRequest | HttpAnswer:
         """Return the next request, or the refusal of a malformed one.
@@ -248,11 +352,12 @@
             When the caller closed the connection.
         """
         self.waits_since_s = clock.read_monotonic_s()
+        self.has_answered = False
         while not self._ready:
             if self._is_lost:
                 raise CallerGoneError
-            if self._refusal is not None:
-                return self._refusal
+            if self.refusal is not None:
+                return self.refusal
             self._waiter = get_running_loop().create_future()
             try:
                 await self._waiter
@@ -261,7 +366,56 @@
         self.waits_since_s = None
         if len(self._ready) == PIPELINED_MAX and self._transport is not None:
             self._transport.resume_reading()
-        return self._ready.popleft()
+        request = self._ready.popleft()
+        self._taken = cast("BodyStream | None", request.rest)
+        return request
+
+    @property
+    def has_whole_body(self) -> bool:
+        """Return whether the body of the current request has arrived."""
+        return self._taken is None or self._taken.has_ended
+
+    async def async_discard_body(self) -> None:
+        """Read the rest of a body whose request has been answered, for a while.
+
+        Closing at once would reset the connection and could destroy the answer.
+        """
+        if self._taken is None:
+            return
+        self._taken.discard()
+        try:
+            with move_on_after(LINGER_S):
+                await self._taken.async_wait_for_end()
+        except BodyAbortedError:
+            pass
+
+    async def async_linger(self) -> None:
+        """Drop what still arrives after a refusal, until the caller has closed.
+
+        Closing at once would reset the connection and could destroy the answer.
+        """
+        if self._is_lost or self._transport is None:
+            return
+        self._transport.write_eof()
+        self._waiter = get_running_loop().create_future()
+        try:
+            with move_on_after(LINGER_S):
+                await self._waiter
+        finally:
+            self._waiter = None
+
+    def end_request(self) -> None:
+        """Give back what the current request held."""
+        if self._taken is not None:
+            self._taken.discard()
+            self._taken = None
+        if self._reserved_bytes and self._limits.memory is not None:
+            self._limits.memory.release(self._reserved_bytes.popleft())
+
+    def end_all(self) -> None:
+        """Give back what all requests of the connection held."""
+        while self._reserved_bytes:
+            self.end_request()
 
     def is_overdue(self, now_s: float) -> bool:
         """Return whether the caller has taken too long to send a request."""
@@ -283,6 +437,7 @@
         """
         if self._is_lost or self._transport is None:
             raise CallerGoneError
+        self.has_answered = True
         self._transport.write(data)
 
     async def async_drain(self) -> None:
@@ -295,10 +450,35 @@
         if self._transport is not None:
             self._transport.close()
 
-    def _refuse(self, status: int, detail: str) -> None:
-        """Refuse what arrives, once the requests before it are answered."""
-        if self._refusal is None:
-            self._refusal = write_problem(status, detail, "not-run")
+    def _refuse(
+        self, status: int, detail: str, retry_after_s: float | None = None
+    ) -> None:
+        """Refuse what arrives, once the requests before it are answered.
+
+        A request whose body has been handed on in part is broken off.
+        """
+        if self.refusal is not None:
+            return
+        outcome = OUTCOME_NOT_RUN
+        if self._stream is not None:
+            self._stream.abort()
+            if self._taken is self._stream:
+                outcome = OUTCOME_UNKNOWN
+                if self.scope is not None:
+                    self.scope.cancel()
+            else:
+                self._ready.pop()
+        self.refusal = write_problem(status, detail, outcome, retry_after_s)
+
+    def _pause_reading(self) -> None:
+        """Have the caller wait."""
+        if self._transport is not None and not self._is_lost:
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        """Let the caller send on."""
+        if self._transport is not None and not self._is_lost:
+            self._transport.resume_reading()
 
     def _wake(self) -> None:
         """Wake the task that waits for a request."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/messages.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/messages.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
+from cardamomtack_daemon.http1.body import BodySource
+
 HeaderList = list[tuple[bytes, bytes]]
 
 # Header fields that are meant for one connection only.
@@ -25,13 +27,27 @@
 
 @dataclass(slots=True)
 class HttpRequest:
-    """A whole request of a caller; header names are in lower case."""
+    """A request of a caller, whole or with its body still arriving.
+
+    Attributes
+    ----------
+    headers : list of (bytes, bytes)
+        Header fields, their names in lower case.
+    body : bytes
+        What has arrived of the body.
+    length : int or None
+        Length of the body, in bytes; None while it is not known.
+    rest : BodySource or None
+        The source of the rest of the body; None when it is whole.
+    """
 
     method: bytes
     target: bytes
     headers: HeaderList
     body: bytes
     keep_alive: bool = True
+    length: int | None = None
+    rest: BodySource | None = None
 
     def find_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header field, or None."""
@@ -84,15 +100,35 @@
     method: bytes, target: bytes, headers: HeaderList, body: bytes
 ) -> bytes:
     """Return a whole request as it goes over the wire."""
-    return b"%b %b HTTP/1.1\r\n%bcontent-length: %d\r\n\r\n%b" % (
+    return encode_request_head(method, target, headers, len(body)) + body
+
+
+def encode_request_head(
+    method: bytes, target: bytes, headers: HeaderList, length: int | None
+) -> bytes:
+    """Return the head of a request as it goes over the wire.
+
+    Parameters
+    ----------
+    length : int or None
+        Length of the body, in bytes; None sends it in chunks.
+    """
+    framing = b"transfer-encoding: chunked"
+    if length is not None:
+        framing = b"content-length: %d" % length
+    return b"%b %b HTTP/1.1\r\n%b%b\r\n\r\n" % (
         method,
         target,
         encode_headers(headers),
-        len(body),
-        body,
+        framing,
     )
 
 
+def encode_chunk(part: bytes) -> bytes:
+    """Return a part of a chunked body; an empty one ends it."""
+    return b"%x\r\n%b\r\n" % (len(part), part)
+
+
 def encode_answer_head(answer: HttpAnswer, keep_alive: bool, framing: bytes) -> bytes:
     """Return the head of an answer as it goes over the wire."""
     reason = REASONS.get(answer.status, b"Unknown")
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 
 from cardamomtack.helpers.clock import Clock
+from cardamomtack_daemon.http1.body import BodyAbortedError
 from cardamomtack_daemon.http1.client import BrokenAnswerError
 from cardamomtack_daemon.http1.connection import (
     CallerConnection,
@@ -19,6 +20,7 @@
     HttpAnswer,
     HttpRequest,
     encode_answer_head,
+    encode_chunk,
 )
 
 BACKLOG = 1024
@@ -142,16 +144,22 @@
                 request = await connection.async_read_request(self._clock)
                 if isinstance(request, HttpAnswer):
                     _send_whole(connection, request, keep_alive=False)
+                    await connection.async_linger()
                     break
                 with CancelScope() as scope:
                     if self._limits.cancels_abandoned:
                         connection.scope = scope
                     keep_alive = await self._async_answer(connection, request)
                 connection.scope = None
-                keep_alive = keep_alive and not scope.cancelled_caught
-        except CallerGoneError:
+                if scope.cancelled_caught:
+                    # Its caller has gone, or has broken a bound with its body.
+                    is_refused = connection.refusal is not None
+                    keep_alive = is_refused and not connection.has_answered
+                connection.end_request()
+        except (BodyAbortedError, CallerGoneError):
             pass
         finally:
+            connection.end_all()
             connection.close()
             self._connections.discard(connection)
 
@@ -160,10 +168,15 @@
     ) -> bool:
         """Answer one request and return whether another may follow it."""
         answer, source = await self._handler.async_handle(request)
-        keep_alive = request.keep_alive and not self.is_closing
+        # Nothing can follow a body of which the rest is not taken.
+        is_early = not connection.has_whole_body
+        keep_alive = request.keep_alive and not self.is_closing and not is_early
         if source is not None:
-            return await _async_stream(connection, answer, source, keep_alive)
-        _send_whole(connection, answer, keep_alive)
+            keep_alive = await _async_stream(connection, answer, source, keep_alive)
+        else:
+            _send_whole(connection, answer, keep_alive)
+        if is_early:
+            await connection.async_discard_body()
         return keep_alive
 
 
@@ -195,11 +208,11 @@
         connection.send(encode_answer_head(answer, keep_alive, framing))
         while part is not None:
             if part:
-                connection.send(_frame_chunk(part) if chunked else part)
+                connection.send(encode_chunk(part) if chunked else part)
                 await connection.async_drain()
             part = await source.async_receive_more()
         if chunked:
-            connection.send(b"0\r\n\r\n")
+            connection.send(encode_chunk(b""))
     except BrokenAnswerError:
         return False
     finally:
@@ -207,11 +220,6 @@
     return keep_alive
 
 
-def _frame_chunk(part: bytes) -> bytes:
-    """Return a chunk of a chunked body."""
-    return b"%x\r\n%b\r\n" % (len(part), part)
-
-
 def _count_length(answer: HttpAnswer) -> int:
     """Return the length to announce; an answer to HEAD names that of GET."""
     if not answer.body and answer.length is not None:
--- a/tests/cardamomtack_daemon/forwarding/case.py
+++ b/tests/cardamomtack_daemon/forwarding/case.py
@@ -65,6 +65,7 @@
         zone: str = ZONE,
         grace_s: float = 6.0,
         writer: LineWriter | None = None,
+        body_memory_bytes: int = 50_000_000,
     ) -> None:
         self.codec = store.codec if store else MemoryCodec()
         self.configuration = MemoryTopic("configuration")
@@ -85,6 +86,7 @@
             retry_slack=50.0,
             retry_window_s=10.0,
             checks_per_server_s=1000.0,
+            body_memory_bytes=body_memory_bytes,
             grace_s=grace_s,
         )
         self.stopping = anyio.Event()
@@ -159,11 +161,12 @@
         configuration: FleetConfiguration | None = None,
         prepare: Callable[[list[ScriptedServer]], None] = lambda servers: None,
         grace_s: float = 6.0,
+        body_memory_bytes: int = 50_000_000,
     ) -> None:
         """Run a scenario with a daemon that is ready."""
 
         async def run() -> None:
-            vm = EntryVm(grace_s=grace_s)
+            vm = EntryVm(grace_s=grace_s, body_memory_bytes=body_memory_bytes)
             scripted = [ScriptedServer(f"server-{number}") for number in range(servers)]
             prepare(scripted)
             async with anyio.create_task_group() as tasks:
--- a/tests/cardamomtack_daemon/forwarding/memory.py
+++ b/tests/cardamomtack_daemon/forwarding/memory.py
@@ -131,12 +131,14 @@
 
 
 def make_configuration(
-    version: int = 1, routes: tuple[RoutePolicy, ...] = ROUTES
+    version: int = 1,
+    routes: tuple[RoutePolicy, ...] = ROUTES,
+    body_bytes_max: int = 100_000,
 ) -> FleetConfiguration:
     """Return a configuration."""
     return FleetConfiguration(
         version,
         routes,
         {SERVICE: BackendService(SERVICE, "/health", 100)},
-        CallerLimits(2000, 100_000, 1.0, 5.0),
+        CallerLimits(2000, body_bytes_max, 1.0, 5.0),
     )
--- a/tests/cardamomtack_daemon/forwarding/servers.py
+++ b/tests/cardamomtack_daemon/forwarding/servers.py
@@ -35,6 +35,8 @@
 
     def __init__(self) -> None:
         self.ready: list[ServerRequest] = []
+        self.begun: ServerRequest | None = None
+        self.body_bytes = 0
         self.parser = HttpRequestParser(self)
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
@@ -51,14 +53,20 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers[name.lower()] = value
 
+    def on_headers_complete(self) -> None:
+        self.begun = self._make_request()
+
     def on_body(self, chunk: bytes) -> None:
         self._body += chunk
+        self.body_bytes += len(chunk)
 
     def on_message_complete(self) -> None:
+        self.begun = None
+        self.ready.append(self._make_request())
+
+    def _make_request(self) -> ServerRequest:
         method = self.parser.get_method()
-        self.ready.append(
-            ServerRequest(method, self._target, self._headers, self._body)
-        )
+        return ServerRequest(method, self._target, self._headers, self._body)
 
 
 Script = Callable[["ScriptedServer", ServerRequest, SocketStream], Awaitable[None]]
@@ -108,6 +116,14 @@
         Whether its process was ended and not started again.
     left : int
         Connections that the daemon closed while a request was under way.
+    check_script : callable or None
+        Answers health checks in place of a usual answer.
+    early_script : callable or None
+        Handles a request of which only the head and a part of the body have arrived.
+    body_bytes_max : int or None
+        After how many bytes of a body it reads no further.
+    body_bytes : int
+        Bytes of bodies that it has read.
     """
 
     def __init__(self, server_id: str, zone: str = ZONE) -> None:
@@ -124,6 +140,10 @@
         self.connections = 0
         self.left = 0
         self.is_stopped = False
+        self.check_script: Script | None = None
+        self.early_script: Script | None = None
+        self.body_bytes_max: int | None = None
+        self.body_bytes = 0
         self._scope = anyio.CancelScope()
 
     def make_entry(self, **changes: object) -> ServerEntry:
@@ -165,17 +185,31 @@
             async with stream:
                 while True:
                     while not collector.ready:
-                        collector.parser.feed_data(await stream.receive())
+                        await self._async_read(collector, stream)
                     await self._async_handle(collector.ready.pop(0), stream)
         except STREAM_ERRORS:
             pass
 
+    async def _async_read(
+        self, collector: _RequestCollector, stream: SocketStream
+    ) -> None:
+        known_bytes = collector.body_bytes
+        collector.parser.feed_data(await stream.receive())
+        self.body_bytes += collector.body_bytes - known_bytes
+        if self.body_bytes_max is not None and self.body_bytes > self.body_bytes_max:
+            await anyio.sleep_forever()
+        if collector.begun is not None and self.early_script is not None:
+            await self.early_script(self, collector.begun, stream)
+
     async def _async_handle(self, request: ServerRequest, stream: SocketStream) -> None:
         if request.target != b"/health":
             self.requests.append(request)
             await self.script(self, request, stream)
             return
         self.checks += 1
+        if self.check_script is not None:
+            await self.check_script(self, request, stream)
+            return
         if not self.answers_checks:
             await anyio.sleep_forever()
         load = f"test-load: {self.load}\r\n" if self.load is not None else ""
