Learn how much callers' deadlines differ before taking one for a second send

Cause: what was missing of the longest deadline seen lately was taken as time that the caller had already waited.

Now the spread is learnt while nobody is sent back, and only what is missing beyond it counts; before that, a third.

Ruled out: a fixed spread (a first retry after 0.3 s would never be told where all deadlines are the same).

--- a/packages/cardamomtack/src/cardamomtack/placing/patience.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/patience.py
@@ -2,40 +2,85 @@
 
 The load that this answers: a crowd that comes back after refusals or an outage. Such a
 request looks new, but its objective has been running since its first send. Callers of
-a route start with the same deadline, which counts down over their sends, so what is
-missing of it is the time that has gone.
+a route start with similar deadlines, which count down over their sends, so what is
+missing of a usual deadline is the time that has gone. How much the deadlines of first
+sends differ is learnt while nobody is sent back; only what is missing beyond counts.
 """
 
 from __future__ import annotations
 
 from collections import deque
 
+CALM_MIN = 16
+"""Deadlines that must be known before their spread is taken from them."""
+
 KEPT = 64
-SPREAD_SHARE = 0.05
+SPREAD_DEFAULT = 0.3
+SPREAD_QUANTILE = 0.95
+SPREAD_SHARE_MIN = 0.05
 """Part of a deadline that may be missing for other reasons, such as the way here."""
 
 
+class _RouteDeadlines:
+    """The deadlines of one route.
+
+    Attributes
+    ----------
+    latest_s : deque of float
+        The deadlines of the latest requests, in seconds.
+    missing : deque of float
+        What was missing of the longest, as a share of it, while nobody was sent back.
+    """
+
+    __slots__ = ("latest_s", "missing")
+
+    def __init__(self) -> None:
+        self.latest_s: deque[float] = deque(maxlen=KEPT)
+        self.missing: deque[float] = deque(maxlen=KEPT)
+
+    def find_spread(self) -> tuple[float, float]:
+        """Return what may be missing of the longest deadline at a first send.
+
+        Returns
+        -------
+        float, float
+            The median and the greatest share.
+        """
+        if len(self.missing) < CALM_MIN:
+            return SPREAD_DEFAULT / 2.0, SPREAD_DEFAULT
+        ordered = sorted(self.missing)
+        greatest = ordered[int(SPREAD_QUANTILE * (len(ordered) - 1))]
+        return ordered[len(ordered) // 2], max(SPREAD_SHARE_MIN, greatest)
+
+
 class CallerPatience:
-    """Learns the deadline with which the callers of each route start."""
+    """Learns the deadlines with which the callers of each route start."""
 
-    __slots__ = ("_deadlines_s",)
+    __slots__ = ("_routes",)
 
     def __init__(self) -> None:
-        self._deadlines_s: dict[str, deque[float]] = {}
+        self._routes: dict[str, _RouteDeadlines] = {}
 
-    def estimate_waited_s(self, route: str, deadline_s: float) -> float:
+    def estimate_waited_s(self, route: str, deadline_s: float, is_calm: bool) -> float:
         """Return how long a caller has probably waited, and learn from it.
 
         Parameters
         ----------
         deadline_s : float
             How long the caller will still wait, in seconds.
+        is_calm : bool
+            Whether no caller has been sent back lately.
         """
-        known = self._deadlines_s.get(route)
+        known = self._routes.get(route)
         if known is None:
-            known = deque(maxlen=KEPT)
-            self._deadlines_s[route] = known
-        known.append(deadline_s)
-        first_s = max(known)
-        missing_s = first_s - deadline_s
-        return missing_s if missing_s > SPREAD_SHARE * first_s else 0.0
+            known = _RouteDeadlines()
+            self._routes[route] = known
+        known.latest_s.append(deadline_s)
+        longest_s = max(known.latest_s)
+        if longest_s <= 0:
+            return 0.0
+        missing = 1.0 - deadline_s / longest_s
+        usual, greatest = known.find_spread()
+        if is_calm:
+            known.missing.append(missing)
+        return (missing - usual) * longest_s if missing > greatest else 0.0
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -37,6 +37,9 @@
 
 Handled = tuple[HttpAnswer, AnswerSource | None]
 
+CALM_S = 3.0
+"""For how long nobody must have been sent back to take all callers for new ones."""
+
 LEAVING_RETRY_AFTER_S = 0.05
 UNBOUNDED_CALLER_S = 60.0
 """For how long a caller without a deadline takes a long answer."""
@@ -96,6 +99,7 @@
         "_placer",
         "_random",
         "_read_servers_age_ms",
+        "_refused_at_s",
         "_routes",
         "_sender",
         "in_flight",
@@ -121,6 +125,8 @@
         self._decisions = decisions
         self._memory = memory
         self._read_servers_age_ms = read_servers_age_ms
+        # Callers of before a start may come back to this VM.
+        self._refused_at_s = clock.read_monotonic_s()
         self._budgets: dict[str, RetryBudget] = {}
         self._clock = clock
         self._ledger = ledger
@@ -193,7 +199,8 @@
         if deadline_ms is not None and deadline_ms.isdigit():
             caller_s = int(deadline_ms) / MS_PER_S
             wait_s = min(wait_s, caller_s)
-            waited_s = self._patience.estimate_waited_s(route.name, caller_s)
+            is_calm = now_s - self._refused_at_s > CALM_S
+            waited_s = self._patience.estimate_waited_s(route.name, caller_s, is_calm)
         return ForwardedCall(
             request,
             route,
@@ -285,6 +292,7 @@
         """Return the final answer of a call, and the reason for the log."""
         now_s = self._clock.read_monotonic_s()
         if result is None or result.outcome is SendOutcome.NOT_RUN:
+            self._refused_at_s = now_s
             retry_after_s = choose_retry_after_s(call.deadline_s - now_s, self._random)
             return (_write_refusal(reason, retry_after_s), None), reason
         if result.answer is not None:
