--- a/packages/cardamomtack/src/cardamomtack/discovery/registry.py
+++ b/packages/cardamomtack/src/cardamomtack/discovery/registry.py
@@ -76,9 +76,10 @@
                 known.apply_entry(entry, now_s)
                 return
             self._remove(known)
-        server = ServerView(entry, now_s)
+        service = self.find_service(entry.service)
+        server = ServerView(entry, now_s, service.traits)
         self.servers[entry.server_id] = server
-        self.find_service(entry.service).members.append(server)
+        service.members.append(server)
 
     def remove_entry(self, server_id: str) -> None:
         """Take note that the entry of a server has vanished."""
--- a/packages/cardamomtack/src/cardamomtack/placing/admission.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/admission.py
@@ -1,9 +1,10 @@
-"""Refusing: which requests are placed although servers are full, and which are not.
+"""Refusing: which requests are placed, and which are sent back.
 
-The load that this answers: many more requests than the servers have room for. Work
-that would be late takes the room of work that could be in time, so a request that no
-server is expected to answer in time is refused at once, while it has not run, and its
-caller is told when to come back. Less urgent kinds stop waiting for room first.
+The load that this answers: many more requests than the servers have room for. Room goes
+to what can still be answered in time. A request whose objective has passed gets what
+is left over: beside others that found no room lately, only servers that are half idle.
+A request that finds no room is refused at once, while it has not run, and its caller is
+told when to come back.
 """
 
 from __future__ import annotations
@@ -11,10 +12,11 @@
 from dataclasses import dataclass
 from random import Random
 
-from cardamomtack.placing.const import OWN_ZONE_OBJECTIVE_SHARE
-
-WAIT_SHARE_BY_PRIORITY = (0.9, 0.8, 0.7)
-"""Share of what is left of the latency objective that a request may need."""
+from cardamomtack.placing.const import (
+    LATE_SHARE,
+    OWN_ZONE_OBJECTIVE_SHARE,
+    WAIT_WORK_FACTOR,
+)
 
 RETRY_AFTER_S_MAX = 0.6
 RETRY_AFTER_S_MIN = 0.1
@@ -29,7 +31,9 @@
     Attributes
     ----------
     estimate_s : float
-        Until the best server is expected to answer.
+        Until the server is expected to answer.
+    work_s : float
+        Work of the request on an idle server.
     objective_left_s : float
         Until the latency objective is missed.
     deadline_left_s : float
@@ -37,12 +41,39 @@
     """
 
     estimate_s: float
+    work_s: float
     objective_left_s: float
     deadline_left_s: float
 
+    @property
+    def is_in_time(self) -> bool:
+        """Return whether the server is expected to answer within the objective."""
+        return self.estimate_s <= self.objective_left_s
+
+    @property
+    def can_wait(self) -> bool:
+        """Return whether a better server would still answer within the objective."""
+        return self.objective_left_s > WAIT_WORK_FACTOR * self.work_s
+
+
+@dataclass(slots=True, frozen=True)
+class ServerRoom:
+    """What a server has room for.
+
+    Attributes
+    ----------
+    busy_share : float
+        Share of its slots that would be busy with the request.
+    has_room : bool
+        Whether the request would neither wait for a slot nor slow others down.
+    """
+
+    busy_share: float
+    has_room: bool
+
 
 def is_good_enough(cost_s: float, objective_left_s: float) -> bool:
-    """Return whether a server of the own zone is taken without asking others.
+    """Return whether a server is taken without asking others.
 
     Parameters
     ----------
@@ -54,23 +85,23 @@
     return cost_s <= OWN_ZONE_OBJECTIVE_SHARE * objective_left_s
 
 
-def is_worth_placing(times: PlacementTimes, priority: int, is_full: bool) -> bool:
-    """Return whether a request is sent to the best server that was found.
+def is_worth_placing(times: PlacementTimes, room: ServerRoom, is_pressed: bool) -> bool:
+    """Return whether a request is sent to a server.
+
+    One that can still be answered in time by another server waits for that one.
 
     Parameters
     ----------
-    priority : int
-        0 is the most urgent.
-    is_full : bool
-        Whether the request would wait for a slot of the server or slow it down.
+    is_pressed : bool
+        Whether requests that could be in time have found no room lately.
     """
-    if times.estimate_s > times.deadline_left_s:
+    if times.estimate_s > times.deadline_left_s or not room.has_room:
         return False
-    if not is_full:
+    if times.is_in_time:
         return True
-    last = len(WAIT_SHARE_BY_PRIORITY) - 1
-    share = WAIT_SHARE_BY_PRIORITY[min(max(priority, 0), last)]
-    return times.estimate_s <= share * times.objective_left_s
+    if times.can_wait:
+        return False
+    return not is_pressed or room.busy_share <= LATE_SHARE
 
 
 def choose_retry_after_s(deadline_left_s: float, random: Random) -> float:
--- a/packages/cardamomtack/src/cardamomtack/placing/chooser.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/chooser.py
@@ -1,9 +1,9 @@
 """Choice of the backend servers to ask, and of the one that gets the request.
 
 The load that this answers: servers on shared machines whose speed changes fourfold
-several times a second, so that a report which is 100 ms old misleads. A few servers
-are asked just before each send, those of the own availability zone first; other
-zones only when none there is expected to answer within the latency objective.
+several times a second, so that a report which is 100 ms old misleads. Servers are
+asked one after the other just before each send, those of the own availability zone
+first, until one is expected to answer well within the latency objective.
 """
 
 from __future__ import annotations
@@ -14,21 +14,29 @@
     ASKED_MAX,
     ASKED_MIN,
     ASKING_ROOM_SHARE,
+    DOUBT_MIN,
     FAILURE_COST_FACTOR,
-    FULL_SLOWDOWN,
-    SPEED_HOLD_S,
+    LATE_ASKED_MAX,
+    POLLED_MAX,
+    POLLED_OTHER_ZONES_MAX,
+    PRESSED_OTHER_ZONES_MAX,
     WARM_UP_COST_FACTOR,
     WORK_GAIN,
     WORK_INITIAL_S,
     ZONE_CROSSING_S,
 )
 from cardamomtack.placing.server import (
-    SLOWNESS_USUAL,
     ServerView,
     ServiceView,
     count_ahead,
+    estimate_share,
     is_past_room,
 )
+from cardamomtack.placing.traits import (
+    SLOWNESS_USUAL,
+    SendConditions,
+    ServiceTraits,
+)
 
 
 class WorkEstimates:
@@ -44,21 +52,25 @@
         return self._estimates.get(route, WORK_INITIAL_S)
 
     def record_answer(
-        self, route: str, duration_s: float, expected_share: float
+        self,
+        route: str,
+        duration_s: float,
+        conditions: SendConditions,
+        traits: ServiceTraits,
     ) -> None:
         """Take the duration of an answer.
 
-        Parameters
-        ----------
-        expected_share : float
-            How many times as long as on an idle server it was expected to take.
+        The work itself is learnt under usual conditions, and the traits of the servers
+        under the others.
         """
-        work_s = duration_s / max(1.0, expected_share)
         known = self._estimates.get(route)
         if known is None:
-            self._estimates[route] = work_s
+            share = traits.estimate_slowness(conditions.slowness)
+            self._estimates[route] = duration_s / max(1.0, share)
+        elif conditions.is_usual:
+            self._estimates[route] = known + WORK_GAIN * (duration_s - known)
         else:
-            self._estimates[route] = known + WORK_GAIN * (work_s - known)
+            traits.record_answer(conditions, duration_s / known)
 
 
 class PlacementChooser:
@@ -88,6 +100,8 @@
     ) -> list[ServerView]:
         """Return a few servers to ask, of the own zone or of the others.
 
+        Those that have failed lately come last.
+
         Parameters
         ----------
         tried : set of str
@@ -103,9 +117,9 @@
             and server.entry.server_id not in tried
             and server.is_usable(now_s)
         ]
-        if len(usable) <= count:
-            return usable
-        return self._random.sample(usable, count)
+        sample = self._random.sample(usable, min(count, len(usable)))
+        sample.sort(key=lambda server: server.estimate_failure_share(now_s) > DOUBT_MIN)
+        return sample
 
     def sample_resting(self, service: ServiceView, tried: set[str]) -> list[ServerView]:
         """Return a few servers that rest after failures, when no other is left."""
@@ -122,7 +136,7 @@
 
     def estimate_s(self, server: ServerView, work_s: float, now_s: float) -> float:
         """Return the seconds until the server's answer."""
-        estimate_s = work_s * estimate_share(server, work_s)
+        estimate_s = work_s * estimate_share(server)
         if server.is_warming(now_s):
             estimate_s *= 1.0 + WARM_UP_COST_FACTOR
         if server.entry.availability_zone != self._availability_zone:
@@ -155,15 +169,31 @@
         )
 
 
-def choose_sample_size(room_share: float) -> int:
-    """Return how many servers of a zone are asked.
+def choose_sample_size(
+    room_share: float, is_own_zone: bool, is_pressed: bool, is_late: bool
+) -> int:
+    """Return how many servers of the own zone, or of the others, are asked at most.
 
     Parameters
     ----------
     room_share : float
         Part of the budget of health checks that is left, from 0 to 1.
+    is_pressed : bool
+        Whether requests that could be in time have found no room lately.
+    is_late : bool
+        Whether the latency objective has passed.
     """
-    return ASKED_MAX if room_share > ASKING_ROOM_SHARE else ASKED_MIN
+    size = ASKED_MAX if room_share > ASKING_ROOM_SHARE else ASKED_MIN
+    if is_pressed and is_late:
+        size = min(size, LATE_ASKED_MAX)
+    if is_pressed and not is_own_zone:
+        size = min(size, PRESSED_OTHER_ZONES_MAX)
+    return size
+
+
+def choose_poll_size(is_own_zone: bool) -> int:
+    """Return how many servers are asked at a time for the calls that wait."""
+    return POLLED_MAX if is_own_zone else POLLED_OTHER_ZONES_MAX
 
 
 def assume_loads(service: ServiceView, servers: list[ServerView], now_s: float) -> None:
@@ -174,18 +204,10 @@
             server.assume_report(report, now_s)
 
 
-def estimate_share(server: ServerView, work_s: float) -> float:
-    """Return how many times as long as on an idle server the work will take."""
+def note_conditions(server: ServerView) -> SendConditions:
+    """Return what a server has told before a send to it."""
     report = server.report
     if report is None:
-        return 1.0 + server.in_flight / max(1, server.entry.slots)
-    slots = max(1, report.slots)
-    ahead = count_ahead(server, report)
-    # The speed of now holds for a while only; longer work meets the usual one.
-    held = SPEED_HOLD_S / (SPEED_HOLD_S + work_s)
-    share = SLOWNESS_USUAL + (report.slowness - SLOWNESS_USUAL) * held
-    if is_past_room(server):
-        share *= FULL_SLOWDOWN
-    if ahead >= slots:
-        share *= 1.0 + (ahead - slots + 1) / slots
-    return share
+        return SendConditions(SLOWNESS_USUAL, False, False)
+    is_queued = count_ahead(server, report) >= report.slots
+    return SendConditions(report.slowness, is_past_room(server), is_queued)
--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -12,13 +12,11 @@
     EJECTION_S_MIN,
     FAILURE_GAIN,
     FAILURE_HALF_LIFE_S,
-    FULL_SHARE,
     REPORT_S_MAX,
     SILENCE_REST_S,
     USUAL_GAIN,
 )
-
-SLOWNESS_USUAL = 1.0
+from cardamomtack.placing.traits import SLOWNESS_USUAL, ServiceTraits
 
 
 @dataclass(slots=True, frozen=True)
@@ -55,6 +53,8 @@
         What the server says of itself.
     now_s : float
         Monotonic time, in seconds.
+    traits : ServiceTraits or None
+        What has been learnt of the servers of its service.
 
     Attributes
     ----------
@@ -79,9 +79,12 @@
         "is_gone",
         "report",
         "sent_since_report",
+        "traits",
     )
 
-    def __init__(self, entry: ServerEntry, now_s: float) -> None:
+    def __init__(
+        self, entry: ServerEntry, now_s: float, traits: ServiceTraits | None = None
+    ) -> None:
         self._failed_in_row = 0
         self._failure_at_s = now_s
         self._failure_share = 0.0
@@ -94,6 +97,7 @@
         self.is_gone = False
         self.report: LoadReport | None = None
         self.sent_since_report = 0
+        self.traits = traits if traits is not None else ServiceTraits()
 
     @property
     def vm_id(self) -> str:
@@ -147,7 +151,7 @@
 
         Requests of this VM that have ended meanwhile no longer count beside it.
         """
-        if now_s - self._reported_at_s <= REPORT_S_MAX:
+        if self.has_report_of(now_s):
             return
         self.report = report
         self.sent_since_report = min(self.sent_since_report, self.in_flight)
@@ -161,6 +165,10 @@
         """Count a request that has ended."""
         self.in_flight -= 1
 
+    def has_report_of(self, now_s: float) -> bool:
+        """Return whether the last report still tells the load of now."""
+        return now_s - self._reported_at_s <= REPORT_S_MAX
+
     def record_success(self, now_s: float) -> None:
         """Note an answer that is no failure of the server."""
         self._failed_in_row = 0
@@ -221,9 +229,18 @@
     ----------
     tells_load : bool or None
         Whether its servers report their load; None before any has answered.
+    traits : ServiceTraits
+        What has been learnt of its servers.
     """
 
-    __slots__ = ("_busy_share", "_slowness", "members", "name", "tells_load")
+    __slots__ = (
+        "_busy_share",
+        "_slowness",
+        "members",
+        "name",
+        "tells_load",
+        "traits",
+    )
 
     def __init__(self, name: str) -> None:
         self._busy_share: float | None = None
@@ -231,6 +248,7 @@
         self.name = name
         self.members: list[ServerView] = []
         self.tells_load: bool | None = None
+        self.traits = ServiceTraits()
 
     def record_report(self, report: LoadReport) -> None:
         """Take the report of one server into the usual load of all."""
@@ -261,17 +279,40 @@
 
 
 def is_past_room(server: ServerView) -> bool:
-    """Return whether a request would wait for a slot, or slow the others down.
+    """Return whether a request would wait for a slot, or be slow in the last ones.
 
-    A server slows down when nearly all of its slots are busy, so its last slots bring
-    less than they take.
+    An idle server has room whatever its size.
     """
     report = server.report
     if report is None:
         return False
-    return count_ahead(server, report) + 1 > FULL_SHARE * report.slots
+    room = max(1.0, server.traits.usable_share * report.slots)
+    return count_ahead(server, report) + 1 > room
+
+
+def find_busy_share(server: ServerView) -> float:
+    """Return the share of the slots that would be busy with one more request."""
+    report = server.report
+    if report is None:
+        return 0.0
+    return (count_ahead(server, report) + 1) / max(1, report.slots)
 
 
 def count_ahead(server: ServerView, report: LoadReport) -> float:
     """Return how many requests a server runs and holds, with those sent since."""
     return report.running + report.waiting + server.sent_since_report
+
+
+def estimate_share(server: ServerView) -> float:
+    """Return how many times as long as on an idle server a request will take."""
+    report = server.report
+    if report is None:
+        return 1.0 + server.in_flight / max(1, server.entry.slots)
+    slots = max(1, report.slots)
+    ahead = count_ahead(server, report)
+    share = server.traits.estimate_slowness(report.slowness)
+    if is_past_room(server):
+        share *= server.traits.full_slowdown
+    if ahead >= slots:
+        share *= 1.0 + (ahead - slots + 1) / slots
+    return share
--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/placing/traits.py
@@ -0,0 +1,96 @@
+"""What is learnt of the servers of a service from the time that their answers take.
+
+The load that this answers: servers on shared machines, of which nobody knows whether a
+request keeps the speed with which it began, and whether a server that is nearly full
+slows down. Both decide which of two servers answers first, so both are measured.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cardamomtack.placing.const import (
+    FULL_SHARE,
+    FULL_SLOWDOWN_HARMLESS,
+    FULL_SLOWDOWN_INITIAL,
+    FULL_SLOWDOWN_MAX,
+    TRAIT_GAIN,
+)
+
+CARRY_MAX = 1.5
+SLOWNESS_CLEAR = 1.5
+"""From which slowness on an answer tells how long a speed lasts."""
+
+SLOWNESS_USUAL = 1.0
+SLOWNESS_USUAL_MAX = 1.2
+
+
+@dataclass(slots=True, frozen=True)
+class SendConditions:
+    """What a server had told when a request was sent to it.
+
+    Attributes
+    ----------
+    slowness : float
+        How many times as long as usual work took at that moment.
+    is_past_room : bool
+        Whether the request got one of the last slots.
+    is_queued : bool
+        Whether it had to wait for a slot.
+    """
+
+    slowness: float
+    is_past_room: bool
+    is_queued: bool
+
+    @property
+    def is_usual(self) -> bool:
+        """Return whether an answer tells the work of a request itself."""
+        is_slow = self.slowness > SLOWNESS_USUAL_MAX
+        return not (is_slow or self.is_past_room or self.is_queued)
+
+
+class ServiceTraits:
+    """How the servers of one service behave.
+
+    Attributes
+    ----------
+    full_slowdown : float
+        How many times as long as usual a request takes in one of the last slots.
+    speed_carry : float
+        Part of the slowness at its start that a request keeps, from 0 to 1.
+    """
+
+    __slots__ = ("full_slowdown", "speed_carry")
+
+    def __init__(self) -> None:
+        self.full_slowdown = FULL_SLOWDOWN_INITIAL
+        self.speed_carry = 1.0
+
+    @property
+    def usable_share(self) -> float:
+        """Return the share of the slots that requests may fill."""
+        return 1.0 if self.full_slowdown <= FULL_SLOWDOWN_HARMLESS else FULL_SHARE
+
+    def estimate_slowness(self, slowness: float) -> float:
+        """Return how many times as long as usual a request will take."""
+        return SLOWNESS_USUAL + (slowness - SLOWNESS_USUAL) * self.speed_carry
+
+    def record_answer(self, conditions: SendConditions, ratio: float) -> None:
+        """Learn from an answer.
+
+        Parameters
+        ----------
+        ratio : float
+            Its time, as a multiple of the work on an idle server.
+        """
+        if conditions.is_queued:
+            return
+        is_slow = conditions.slowness >= SLOWNESS_CLEAR
+        if is_slow and not conditions.is_past_room:
+            excess = conditions.slowness - SLOWNESS_USUAL
+            carry = min(CARRY_MAX, max(0.0, (ratio - SLOWNESS_USUAL) / excess))
+            self.speed_carry += TRAIT_GAIN * (carry - self.speed_carry)
+        elif conditions.is_past_room and conditions.slowness <= SLOWNESS_USUAL_MAX:
+            slowdown = min(FULL_SLOWDOWN_MAX, max(1.0, ratio))
+            self.full_slowdown += TRAIT_GAIN * (slowdown - self.full_slowdown)
--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/placing/waiting.py
@@ -0,0 +1,134 @@
+"""Waiting for room: which calls wait, for how long, and who goes first.
+
+The load that this answers: more requests than the servers have room for, for seconds.
+A server that is nearly full slows down all that it runs, so a request that is sent
+there costs the others more than it gains. It waits at its VM instead, as long as it can
+still be answered in time. Every slot that a request of this VM frees goes to one that
+waits, so each VM keeps as many slots as it uses, and no two VMs run for the same one.
+
+More urgent kinds go first, but one slot in a few goes to the call that has waited
+longest, so that no kind starves. A call that would have to wait for too long, by the
+rate at which slots come free, is refused at once.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from math import inf
+
+from cardamomtack.placing.const import (
+    FAIR_TURN,
+    PRESSURE_S,
+    WAIT_WORK_FACTOR,
+    WAITING_OPTIMISM,
+    WAITING_SLOTS_PER_S_MIN,
+)
+
+RATE_WINDOW_S = 1.0
+
+
+class WaitingCall:
+    """A call that waits for room.
+
+    Parameters
+    ----------
+    priority : int
+        0 is the most urgent.
+    objective_at_s : float
+        Monotonic time by which it is to be answered, in seconds.
+    work_s : float
+        Its work on an idle server, in seconds.
+
+    Attributes
+    ----------
+    last_start_s : float
+        Monotonic time until which it may still be answered in time, in seconds.
+    """
+
+    __slots__ = ("last_start_s", "objective_at_s", "priority")
+
+    def __init__(self, priority: int, objective_at_s: float, work_s: float) -> None:
+        self.last_start_s = objective_at_s - WAIT_WORK_FACTOR * work_s
+        self.objective_at_s = objective_at_s
+        self.priority = priority
+
+
+class WaitingLine:
+    """The calls of one VM that wait for room at the servers of one service."""
+
+    __slots__ = ("_calls", "_ended_at_s", "_given", "_pressed_at_s")
+
+    def __init__(self) -> None:
+        self._calls: list[WaitingCall] = []
+        self._ended_at_s: deque[float] = deque()
+        self._given = 0
+        self._pressed_at_s = -inf
+
+    def __len__(self) -> int:
+        """Return how many calls wait."""
+        return len(self._calls)
+
+    def list_calls(self) -> list[WaitingCall]:
+        """Return the calls that wait, in the order in which they came."""
+        return list(self._calls)
+
+    def is_pressed(self, now_s: float) -> bool:
+        """Return whether a call that could be in time found no room lately."""
+        return bool(self._calls) or now_s - self._pressed_at_s <= PRESSURE_S
+
+    def is_first(self, call: WaitingCall) -> bool:
+        """Return whether a call has waited longest."""
+        return self._calls[0] is call
+
+    def join(self, call: WaitingCall, now_s: float) -> bool:
+        """Let a call wait, and return whether it is likely to get room in time."""
+        self._pressed_at_s = now_s
+        left_s = call.last_start_s - now_s
+        if left_s <= 0:
+            return False
+        before = sum(one.priority <= call.priority for one in self._calls)
+        if before / self._estimate_slots_per_s(now_s) > left_s:
+            return False
+        self._calls.append(call)
+        return True
+
+    def leave(self, call: WaitingCall) -> None:
+        """Take out a call, whether it got room or not."""
+        if call in self._calls:
+            self._calls.remove(call)
+
+    def record_end(self, now_s: float) -> None:
+        """Count a slot that a request of this VM has freed."""
+        self._ended_at_s.append(now_s)
+        self._drop_old(now_s)
+
+    def choose(
+        self, is_fit: Callable[[WaitingCall], bool], now_s: float
+    ) -> WaitingCall | None:
+        """Return the call that gets room which has come free, or None.
+
+        Parameters
+        ----------
+        is_fit : callable
+            Returns whether the room serves a call in time.
+        """
+        calls = [one for one in self._calls if one.last_start_s >= now_s]
+        if not calls:
+            return None
+        if (self._given + 1) % FAIR_TURN:
+            calls.sort(key=lambda one: (one.priority, one.objective_at_s))
+        chosen = next((one for one in calls if is_fit(one)), None)
+        self._given += chosen is not None
+        return chosen
+
+    def _estimate_slots_per_s(self, now_s: float) -> float:
+        """Return how many slots a second may come free for calls of this VM."""
+        self._drop_old(now_s)
+        ended = len(self._ended_at_s) / RATE_WINDOW_S
+        return max(WAITING_SLOTS_PER_S_MIN, WAITING_OPTIMISM * ended)
+
+    def _drop_old(self, now_s: float) -> None:
+        """Forget the ends before the window."""
+        while self._ended_at_s and self._ended_at_s[0] < now_s - RATE_WINDOW_S:
+            self._ended_at_s.popleft()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/asking.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/asking.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from anyio import Event, create_task_group, move_on_after
 
 from cardamomtack.helpers.clock import Clock
 from cardamomtack.measuring.pacer import CheckPacer
-from cardamomtack.placing.chooser import choose_sample_size
 from cardamomtack.placing.server import ServerView, ServiceView
 from cardamomtack_daemon.forwarding.const import (
     ASK_TIMEOUT_S,
     ASK_TIMEOUT_S_MAX,
+    ASK_TURN_S,
     LIFE_TIMEOUT_S,
 )
 from cardamomtack_daemon.forwarding.names import HeaderNames
@@ -36,6 +37,45 @@
     connection: ServerConnection
 
 
+class _AskingRound:
+    """The questions of one call, and the answers so far.
+
+    Attributes
+    ----------
+    missing : dict
+        Servers that have not answered yet, and when they were asked, in seconds.
+    """
+
+    __slots__ = ("_answered", "asked", "has_enough", "missing")
+
+    def __init__(self) -> None:
+        self._answered = Event()
+        self.asked: list[AskedServer] = []
+        self.has_enough = False
+        self.missing: dict[ServerView, float] = {}
+
+    def take_answer(
+        self,
+        server: ServerView,
+        connection: ServerConnection | None,
+        is_enough: Callable[[AskedServer], bool],
+    ) -> None:
+        """Take the answer of a server."""
+        del self.missing[server]
+        if connection is not None:
+            asked = AskedServer(server, connection)
+            self.asked.append(asked)
+            self.has_enough = self.has_enough or is_enough(asked)
+        self._answered.set()
+        self._answered = Event()
+
+    async def async_wait(self, timeout_s: float) -> None:
+        """Wait for the next answer."""
+        answered = self._answered
+        with move_on_after(timeout_s):
+            await answered.wait()
+
+
 class ServerAsker:
     """Asks servers for their load and health just before a send.
 
@@ -75,37 +115,57 @@
         self, service: ServiceView, servers: list[ServerView]
     ) -> list[AskedServer]:
         """Return the servers that have answered in time that they take work."""
-        asked: list[AskedServer] = []
-        now_s = self._clock.read_monotonic_s()
-        servers = servers[: self.pacer.grant_checks(len(servers), now_s)]
-        if not servers:
-            return asked
-        first = Event()
-        last = Event()
-        missing = list(servers)
+        return await self._async_ask_all(service, servers, 0.0, lambda _: False)
+
+    async def async_ask_in_turn(
+        self,
+        service: ServiceView,
+        servers: list[ServerView],
+        is_enough: Callable[[AskedServer], bool],
+    ) -> list[AskedServer]:
+        """Ask one server after the other until one that has answered is enough.
+
+        A server that is slow to answer does not hold the next question up.
+        """
+        return await self._async_ask_all(service, servers, ASK_TURN_S, is_enough)
+
+    async def _async_ask_all(
+        self,
+        service: ServiceView,
+        servers: list[ServerView],
+        turn_s: float,
+        is_enough: Callable[[AskedServer], bool],
+    ) -> list[AskedServer]:
+        """Ask servers in turn, and return those that have answered in time."""
+        round_ = _AskingRound()
 
         async def ask(server: ServerView) -> None:
             connection = await self._async_ask_server(service, server)
-            missing.remove(server)
-            if connection is not None:
-                asked.append(AskedServer(server, connection))
-                first.set()
-            if not missing:
-                first.set()
-                last.set()
+            round_.take_answer(server, connection, is_enough)
 
         async with create_task_group() as tasks:
             for server in servers:
+                now_s = self._clock.read_monotonic_s()
+                if not self.pacer.grant_checks(1, now_s):
+                    break
+                round_.missing[server] = now_s
                 tasks.start_soon(ask, server)
+                if turn_s:
+                    await round_.async_wait(turn_s)
+                if round_.has_enough:
+                    break
             with move_on_after(ASK_TIMEOUT_S):
-                await last.wait()
-            if not asked:
-                with move_on_after(ASK_TIMEOUT_S_MAX):
-                    await first.wait()
+                while round_.missing and not round_.has_enough:
+                    await round_.async_wait(ASK_TIMEOUT_S)
+            with move_on_after(ASK_TIMEOUT_S_MAX):
+                while round_.missing and not round_.asked:
+                    await round_.async_wait(ASK_TIMEOUT_S_MAX)
             tasks.cancel_scope.cancel()
-        for server in missing:
-            server.record_silence(self._clock.read_monotonic_s())
-        return asked
+        now_s = self._clock.read_monotonic_s()
+        for server, asked_at_s in round_.missing.items():
+            if now_s - asked_at_s >= ASK_TIMEOUT_S:
+                server.record_silence(now_s)
+        return round_.asked
 
     async def async_is_down(self, server: ServerView) -> bool:
         """Return whether a server that cut a connection has gone down.
@@ -136,10 +196,9 @@
         return not self.pacer.can_check(self._clock.read_monotonic_s())
 
     @property
-    def sample_size(self) -> int:
-        """Return how many servers of a zone are asked now."""
-        now_s = self._clock.read_monotonic_s()
-        return choose_sample_size(self.pacer.find_room_share(now_s))
+    def room_share(self) -> float:
+        """Return the part of the budget of health checks that is left."""
+        return self.pacer.find_room_share(self._clock.read_monotonic_s())
 
     def release(self, asked: list[AskedServer], chosen: AskedServer | None) -> None:
         """Give back the connections of the servers that were not chosen."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -7,7 +7,7 @@
 
 from cardamomtack.generated.logs import SendRecord
 from cardamomtack.helpers.clock import MS_PER_S, Clock
-from cardamomtack.placing.chooser import estimate_share
+from cardamomtack.placing.chooser import note_conditions
 from cardamomtack.placing.server import ServerView, is_past_room
 from cardamomtack.quarantine.ledger import CrashLedger
 from cardamomtack_daemon.forwarding.asking import AskedServer, ServerAsker
@@ -43,8 +43,8 @@
     ----------
     estimate_s : float
         Within which the server was expected to answer, in seconds.
-    expected_share : float
-        How many times as long as on an idle server it was expected to take.
+    conditions : SendConditions
+        What the server had told before.
     is_streaming : bool
         Whether the rest of a long answer is still arriving.
     record : SendRecord
@@ -57,9 +57,9 @@
         "_has_begun",
         "_sender",
         "call",
+        "conditions",
         "connection",
         "estimate_s",
-        "expected_share",
         "is_streaming",
         "record",
         "server",
@@ -76,9 +76,9 @@
         self._has_begun = False
         self._sender = sender
         self.call = call
+        self.conditions = note_conditions(asked.server)
         self.connection = asked.connection
         self.estimate_s = call.estimate_s or work_s
-        self.expected_share = estimate_share(asked.server, work_s)
         self.is_streaming = False
         self.started_s = 0.0
         self.server = asked.server
@@ -180,11 +180,13 @@
     Parameters
     ----------
     pool : ConnectionPool
-        Takes connections back.
+        Connections to servers.
     asker : ServerAsker
         Finds out whether a server has gone down.
     ledger : CrashLedger
         Suspects of crashes.
+    take_back : callable
+        Takes the connection of a request that has ended.
     report_crash : callable
         Tells the other VMs of a crash: the server's incarnation, and the digests of
         the requests that it was running for this VM.
@@ -200,6 +202,7 @@
         "_ledger",
         "_pool",
         "_report_crash",
+        "_take_back",
     )
 
     def __init__(
@@ -207,6 +210,7 @@
         pool: ConnectionPool,
         asker: ServerAsker,
         ledger: CrashLedger,
+        take_back: Callable[[ServerView, ServerConnection], None],
         report_crash: Callable[[str, list[bytes]], None],
         clock: Clock,
     ) -> None:
@@ -217,6 +221,7 @@
         self._digests: dict[str, list[bytes]] = {}
         self._ledger = ledger
         self._pool = pool
+        self._take_back = take_back
 
     def give_back(self, asked: AskedServer) -> None:
         """Give back the connection of a server that gets nothing after all."""
@@ -251,7 +256,7 @@
         self._connections.discard(send.connection)
         if not send.is_streaming:
             server.record_end()
-            self._pool.release(server, send.connection)
+            self._take_back(server, send.connection)
 
     def read_now_s(self) -> float:
         """Return the monotonic time, in seconds."""
@@ -271,7 +276,7 @@
         result = self._judge(send.call, send.server, answer)
         if not answer.is_whole and result.answer is not None:
             result.rest = AnswerRest(
-                self._pool,
+                self._take_back,
                 send.server,
                 send.connection,
                 send.call.leaves_at_s,
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
@@ -45,6 +45,10 @@
         When the best server was last expected to answer, in seconds.
     usable : int
         Servers of the service that might get work then.
+    asked : int
+        Servers that were asked for their load.
+    waited_s : float
+        For how long it waited for room, in seconds.
     """
 
     request: HttpRequest
@@ -62,6 +66,8 @@
     sends: list[SendRecord] = field(default_factory=list)
     estimate_s: float | None = None
     usable: int = 0
+    asked: int = 0
+    waited_s: float = 0.0
 
     def encode(self, server_id: str, now_s: float) -> bytes:
         """Return the head and the first part of the body as they go to a server.
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -197,14 +197,20 @@
         self.memory = BodyMemory(settings.body_memory_bytes)
         chooser = PlacementChooser(random, settings.availability_zone)
         self._asker = ServerAsker(self._pool, names, clock)
+        placer = Placer(self._registry, chooser, self._asker, self._pool, clock)
         self._sender = RequestSender(
-            self._pool, self._asker, self._ledger, self._report_crash, clock
+            self._pool,
+            self._asker,
+            self._ledger,
+            placer.take_back,
+            self._report_crash,
+            clock,
         )
         self._forwarder = Forwarder(
             settings,
             names,
             self._routes,
-            Placer(self._registry, chooser, self._asker, self._pool, clock),
+            placer,
             self._sender,
             self._ledger,
             clock,
@@ -285,10 +291,10 @@
         )
         tasks.start_soon(self._membership.async_join)
         tasks.start_soon(self._relay.async_hear)
+        await tasks.start(self._callers.async_serve, settings.address, settings.port)
         tasks.start_soon(
             self._readiness.async_serve, settings.address, settings.ready_port
         )
-        tasks.start_soon(self._callers.async_serve, settings.address, settings.port)
         tasks.start_soon(self._async_maintain)
         tasks.start_soon(async_watch_clock, self._wake)
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -243,6 +243,9 @@
             duration_ms=int((now_s - call.arrived_s) * MS_PER_S),
             deadline_left_ms=int((call.deadline_s - now_s) * MS_PER_S),
             estimate_ms=-1 if estimate_s is None else int(estimate_s * MS_PER_S),
+            objective_left_ms=int((call.objective_s - call.arrived_s) * MS_PER_S),
+            asked=call.asked,
+            waited_ms=int(call.waited_s * MS_PER_S),
             usable=call.usable,
             sends=call.sends,
         )
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/hedging.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/hedging.py
@@ -117,7 +117,7 @@
         # A request that may have crashed a server is not sent to two at a time.
         if self._ledger.is_suspected(call.digest):
             return None
-        asked = await self._placer.async_place(call)
+        asked = await self._placer.async_place(call, may_wait=False)
         if asked is None:
             return None
         now_s = self._clock.read_monotonic_s()
@@ -160,5 +160,5 @@
         if result.outcome is SendOutcome.ANSWERED:
             duration_s = self._clock.read_monotonic_s() - send.started_s
             self._placer.estimates.record_answer(
-                send.call.route.name, duration_s, send.expected_share
+                send.call.route.name, duration_s, send.conditions, send.server.traits
             )
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/outcome.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/outcome.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -11,7 +12,6 @@
 from cardamomtack.placing.server import ServerView
 from cardamomtack_daemon.http1.client import BrokenAnswerError, ServerConnection
 from cardamomtack_daemon.http1.messages import HttpAnswer
-from cardamomtack_daemon.pool import ConnectionPool
 
 
 class SendOutcome(Enum):
@@ -46,7 +46,7 @@
 
     Parameters
     ----------
-    pool : ConnectionPool
+    take_back : callable
         Takes the connection back.
     server : ServerView
         Where the answer comes from.
@@ -58,11 +58,11 @@
         Tells the time.
     """
 
-    __slots__ = ("_clock", "_connection", "_ends_at_s", "_pool", "_server")
+    __slots__ = ("_clock", "_connection", "_ends_at_s", "_server", "_take_back")
 
     def __init__(
         self,
-        pool: ConnectionPool,
+        take_back: Callable[[ServerView, ServerConnection], None],
         server: ServerView,
         connection: ServerConnection,
         ends_at_s: float,
@@ -71,8 +71,8 @@
         self._clock = clock
         self._connection = connection
         self._ends_at_s = ends_at_s
-        self._pool = pool
         self._server = server
+        self._take_back = take_back
 
     async def async_receive_more(self) -> bytes | None:
         """Return the next part of the body, or None after its end.
@@ -90,4 +90,4 @@
     async def async_release(self) -> None:
         """Give the connection back after the answer, whole or cut."""
         self._server.record_end()
-        self._pool.release(self._server, self._connection)
+        self._take_back(self._server, self._connection)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -1,4 +1,4 @@
-"""Finds a server for a request: samples, asks, and compares."""
+"""Finds a server for a request: asks, compares, and lets it wait for room."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 from cardamomtack.helpers.clock import Clock
 from cardamomtack.placing.admission import (
     PlacementTimes,
+    ServerRoom,
     is_good_enough,
     is_worth_placing,
 )
@@ -13,10 +14,19 @@
     PlacementChooser,
     WorkEstimates,
     assume_loads,
+    choose_poll_size,
+    choose_sample_size,
+)
+from cardamomtack.placing.server import (
+    ServerView,
+    ServiceView,
+    find_busy_share,
+    is_past_room,
 )
-from cardamomtack.placing.server import ServerView, ServiceView, is_past_room
 from cardamomtack_daemon.forwarding.asking import AskedServer, ServerAsker
 from cardamomtack_daemon.forwarding.call import ForwardedCall
+from cardamomtack_daemon.forwarding.waiting import RoomQueue, RoomTicket
+from cardamomtack_daemon.http1.client import ServerConnection
 from cardamomtack_daemon.pool import (
     CONNECTION_IDLE_S_MAX,
     ConnectionPool,
@@ -36,7 +46,7 @@
     asker : ServerAsker
         Asks servers for their load.
     pool : ConnectionPool
-        Connections to servers that tell no load.
+        Connections to servers.
     clock : Clock
         Tells the time.
 
@@ -46,7 +56,15 @@
         How long the work of each route takes.
     """
 
-    __slots__ = ("_asker", "_chooser", "_clock", "_pool", "_registry", "estimates")
+    __slots__ = (
+        "_asker",
+        "_chooser",
+        "_clock",
+        "_pool",
+        "_queues",
+        "_registry",
+        "estimates",
+    )
 
     def __init__(
         self,
@@ -60,109 +78,244 @@
         self._chooser = chooser
         self._clock = clock
         self._pool = pool
+        self._queues: dict[str, RoomQueue] = {}
         self._registry = registry
         self.estimates = WorkEstimates()
 
-    async def async_place(self, call: ForwardedCall) -> AskedServer | None:
+    async def async_place(
+        self, call: ForwardedCall, may_wait: bool = True
+    ) -> AskedServer | None:
         """Return a server and a connection to it, or None when none takes the call.
 
         Nothing of the request has left when this returns.
+
+        Parameters
+        ----------
+        may_wait : bool
+            Whether the call may wait until a server has room for it.
         """
         service = self._registry.find_service(call.service)
         if service.tells_load is False:
             return await self._async_place_unasked(service, call)
-        work_s = self.estimates.find_work_s(call.route.name)
-        asked = await self._async_ask(service, call, True)
-        best = self._choose(asked, work_s)
-        if best is None or not self._is_good(best, call, work_s):
-            asked += await self._async_ask(service, call, False)
-            best = self._choose(asked, work_s)
-        if best is None:
+        queue = self._find_queue(call.service)
+        placed: AskedServer | None = None
+        if queue.is_empty:
+            placed = await self._async_place_asked(service, call, queue)
+        if placed is None and may_wait:
+            placed = await self._async_wait(service, call, queue)
+        if placed is None and queue.is_empty:
+            placed = await self._async_place_without_room(service, call)
+        return placed
+
+    def take_back(self, server: ServerView, connection: ServerConnection) -> None:
+        """Take the connection of a request that has ended.
+
+        It goes to a call that waits for room, if the server has told that it has some.
+        """
+        queue = self._queues.get(server.entry.service)
+        if queue is not None:
+            queue.record_end()
+            has_told = server.has_report_of(self._clock.read_monotonic_s())
+            if has_told and connection.is_quiet():
+                asked = AskedServer(server, connection)
+                if queue.offer(asked):
+                    return
+        self._pool.release(server, connection)
+
+    async def _async_place_asked(
+        self, service: ServiceView, call: ForwardedCall, queue: RoomQueue
+    ) -> AskedServer | None:
+        """Ask servers in turn until one is good enough, and return the best one."""
+        asked: list[AskedServer] = []
+
+        def is_enough(one: AskedServer) -> bool:
+            return self._is_enough(one.server, call, queue)
+
+        for is_own_zone in (True, False):
+            servers = self._sample(service, call, queue, is_own_zone)
+            asked += await self._asker.async_ask_in_turn(service, servers, is_enough)
+            if any(is_enough(one) for one in asked):
+                break
+        call.asked += len(asked)
+        if not asked:
             resting = self._chooser.sample_resting(service, call.tried)
             asked = await self._asker.async_ask(service, resting)
-            best = self._choose(asked, work_s)
-        if best is None and self._asker.is_exhausted:
-            return await self._async_place_unasked(service, call)
-        chosen = best.server if best is not None else None
-        self._note_choice(service, chosen, call, work_s)
-        if chosen is not None and not self._is_worth_it(chosen, call, work_s):
+        best = self._choose(asked, call)
+        self._note_choice(service, best.server if best is not None else None, call)
+        if best is not None and not self._is_worth_it(best.server, call, queue):
             best = None
         self._asker.release(asked, best)
         return best
 
-    def _note_choice(
+    def _sample(
         self,
         service: ServiceView,
-        best: ServerView | None,
         call: ForwardedCall,
-        work_s: float,
+        queue: RoomQueue,
+        is_own_zone: bool,
+    ) -> list[ServerView]:
+        """Return servers to ask of the own zone, or of the others."""
+        now_s = self._clock.read_monotonic_s()
+        size = choose_sample_size(
+            self._asker.room_share,
+            is_own_zone,
+            queue.is_pressed,
+            call.objective_s <= now_s,
+        )
+        return self._chooser.sample_servers(
+            service, call.tried, is_own_zone, now_s, size
+        )
+
+    async def _async_wait(
+        self, service: ServiceView, call: ForwardedCall, queue: RoomQueue
+    ) -> AskedServer | None:
+        """Let a call wait until a server has room for it."""
+
+        def is_fit(one: AskedServer) -> bool:
+            server = one.server
+            now_s = self._clock.read_monotonic_s()
+            if server.vm_id in call.tried or not server.is_usable(now_s):
+                return False
+            is_in_time = self._find_times(server, call).is_in_time
+            return is_in_time and not is_past_room(server)
+
+        async def poll() -> None:
+            await self._async_poll(service, call, queue)
+
+        work_s = self.estimates.find_work_s(call.route.name)
+        began_s = self._clock.read_monotonic_s()
+        ticket = RoomTicket(call.route.priority, call.objective_s, work_s, is_fit)
+        is_done = False
+        try:
+            placed = await queue.async_wait(ticket, poll)
+            is_done = True
+        finally:
+            call.waited_s += self._clock.read_monotonic_s() - began_s
+            if not is_done and ticket.got is not None:
+                self.take_back(ticket.got.server, ticket.got.connection)
+        if placed is not None:
+            self._note_choice(service, placed.server, call)
+        return placed
+
+    async def _async_poll(
+        self, service: ServiceView, call: ForwardedCall, queue: RoomQueue
+    ) -> None:
+        """Ask a few servers, and offer them to the calls that wait."""
+        now_s = self._clock.read_monotonic_s()
+        servers: list[ServerView] = []
+        for is_own_zone in (True, False):
+            size = choose_poll_size(is_own_zone)
+            servers += self._chooser.sample_servers(
+                service, call.tried, is_own_zone, now_s, size
+            )
+        for one in await self._asker.async_ask(service, servers):
+            if not queue.offer(one):
+                self._pool.release(one.server, one.connection)
+
+    async def _async_place_without_room(
+        self, service: ServiceView, call: ForwardedCall
+    ) -> AskedServer | None:
+        """Return a server where none is known to have room, or None.
+
+        No health check may be sent now, or all servers tell that they are full. What
+        servers tell may be wrong, so a VM that has nothing running at a service sends
+        it a request all the same.
+        """
+        is_idle = not any(server.in_flight for server in service.members)
+        if self._asker.is_exhausted:
+            return await self._async_place_unasked(service, call, is_idle)
+        now_s = self._clock.read_monotonic_s()
+        full = [one for one in service.members if one.has_report_of(now_s)]
+        if not is_idle or not full:
+            return None
+        return await self._async_place_unasked(service, call, True, full)
+
+    def _note_choice(
+        self, service: ServiceView, best: ServerView | None, call: ForwardedCall
     ) -> None:
         """Note for the log what a choice was made from."""
         now_s = self._clock.read_monotonic_s()
         call.usable = sum(server.is_usable(now_s) for server in service.members)
         call.estimate_s = None
         if best is not None:
-            call.estimate_s = self._chooser.estimate_s(best, work_s, now_s)
+            call.estimate_s = self._find_times(best, call).estimate_s
 
-    async def _async_ask(
-        self, service: ServiceView, call: ForwardedCall, is_own_zone: bool
-    ) -> list[AskedServer]:
-        """Ask a few servers of the own zone, or of the others."""
-        now_s = self._clock.read_monotonic_s()
-        servers = self._chooser.sample_servers(
-            service, call.tried, is_own_zone, now_s, self._asker.sample_size
-        )
-        asked = await self._asker.async_ask(service, servers)
-        # A server may have left while it was asked.
-        now_s = self._clock.read_monotonic_s()
-        kept = [one for one in asked if one.server.is_usable(now_s)]
-        if len(kept) < len(asked):
-            kept_ids = {one.server.vm_id for one in kept}
-            left = [one for one in asked if one.server.vm_id not in kept_ids]
-            self._asker.release(left, None)
-        return kept
-
-    def _choose(self, asked: list[AskedServer], work_s: float) -> AskedServer | None:
-        """Return the asked server that is expected to answer first, or None."""
+    def _choose(
+        self, asked: list[AskedServer], call: ForwardedCall
+    ) -> AskedServer | None:
+        """Return the asked server that is expected to answer first, or None.
+
+        Those with room come first. A server may have left while it was asked.
+        """
         now_s = self._clock.read_monotonic_s()
-        servers = [one.server for one in asked]
-        chosen = self._chooser.choose_server(servers, work_s, now_s)
+        work_s = self.estimates.find_work_s(call.route.name)
+        usable = [one.server for one in asked if one.server.is_usable(now_s)]
+        with_room = [server for server in usable if not is_past_room(server)]
+        chosen = self._chooser.choose_server(with_room or usable, work_s, now_s)
         return next((one for one in asked if one.server is chosen), None)
 
-    def _is_good(self, best: AskedServer, call: ForwardedCall, work_s: float) -> bool:
-        """Return whether no other zone needs to be asked."""
+    def _is_enough(
+        self, server: ServerView, call: ForwardedCall, queue: RoomQueue
+    ) -> bool:
+        """Return whether no other server needs to be asked."""
         now_s = self._clock.read_monotonic_s()
-        cost_s = self._chooser.estimate_cost_s(best.server, work_s, now_s)
+        if not server.is_usable(now_s) or not self._is_worth_it(server, call, queue):
+            return False
         objective_left_s = call.objective_s - now_s
+        if objective_left_s <= 0:
+            return True
+        work_s = self.estimates.find_work_s(call.route.name)
+        cost_s = self._chooser.estimate_cost_s(server, work_s, now_s)
         return is_good_enough(cost_s, objective_left_s)
 
     def _is_worth_it(
-        self, server: ServerView, call: ForwardedCall, work_s: float
+        self, server: ServerView, call: ForwardedCall, queue: RoomQueue
     ) -> bool:
-        """Return whether the call is sent although the server may be full."""
+        """Return whether a call is sent to a server."""
+        room = ServerRoom(find_busy_share(server), not is_past_room(server))
+        times = self._find_times(server, call)
+        return is_worth_placing(times, room, queue.is_pressed)
+
+    def _find_times(self, server: ServerView, call: ForwardedCall) -> PlacementTimes:
+        """Return the times that decide whether a call goes to a server."""
         now_s = self._clock.read_monotonic_s()
-        times = PlacementTimes(
+        work_s = self.estimates.find_work_s(call.route.name)
+        return PlacementTimes(
             self._chooser.estimate_s(server, work_s, now_s),
+            work_s,
             call.objective_s - now_s,
             call.deadline_s - now_s,
         )
-        return is_worth_placing(times, call.route.priority, is_past_room(server))
 
     async def _async_place_unasked(
-        self, service: ServiceView, call: ForwardedCall
+        self,
+        service: ServiceView,
+        call: ForwardedCall,
+        accepts_full: bool = True,
+        choices: list[ServerView] | None = None,
     ) -> AskedServer | None:
         """Return a server that is not asked, or None when none takes the call.
 
         Its service tells no load, or no health check may be sent now.
+
+        Parameters
+        ----------
+        accepts_full : bool
+            Whether servers are taken that are believed to have no room.
+        choices : list of ServerView or None
+            Servers to choose from; None for all.
         """
-        work_s = self.estimates.find_work_s(call.route.name)
+        queue = self._find_queue(call.service)
         tried = set(call.tried)
         while self._clock.read_monotonic_s() < call.deadline_s:
-            server = self._choose_unasked(service, tried, work_s)
-            self._note_choice(service, server, call, work_s)
+            server = self._choose_unasked(service, tried, call, choices)
+            self._note_choice(service, server, call)
             if server is None:
                 return None
-            if service.tells_load and not self._is_worth_it(server, call, work_s):
+            times = self._find_times(server, call)
+            if service.tells_load and times.estimate_s > times.deadline_left_s:
+                return None
+            if not accepts_full and not self._is_worth_it(server, call, queue):
                 return None
             try:
                 connection = await self._pool.async_acquire(
@@ -178,13 +331,30 @@
         return None
 
     def _choose_unasked(
-        self, service: ServiceView, tried: set[str], work_s: float
+        self,
+        service: ServiceView,
+        tried: set[str],
+        call: ForwardedCall,
+        choices: list[ServerView] | None,
     ) -> ServerView | None:
         """Return a server by what is known without asking, or None."""
         now_s = self._clock.read_monotonic_s()
-        servers = self._chooser.sample_servers(service, tried, True, now_s)
-        servers += self._chooser.sample_servers(service, tried, False, now_s)
-        if not servers:
+        if choices is not None:
+            servers = [one for one in choices if one.is_usable(now_s)]
+            servers = [one for one in servers if one.vm_id not in tried]
+        else:
+            servers = self._chooser.sample_servers(service, tried, True, now_s)
+            servers += self._chooser.sample_servers(service, tried, False, now_s)
+        if not servers and choices is None:
             servers = self._chooser.sample_resting(service, tried)
         assume_loads(service, servers, now_s)
+        work_s = self.estimates.find_work_s(call.route.name)
         return self._chooser.choose_server(servers, work_s, now_s)
+
+    def _find_queue(self, service: str) -> RoomQueue:
+        """Return the calls that wait for room at a service."""
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = RoomQueue(self._clock)
+            self._queues[service] = queue
+        return queue
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
@@ -5,8 +5,8 @@
 from asyncio import get_running_loop
 from typing import Protocol
 
-from anyio import CancelScope, create_task_group, sleep
-from anyio.abc import TaskGroup
+from anyio import TASK_STATUS_IGNORED, CancelScope, create_task_group, sleep
+from anyio.abc import TaskGroup, TaskStatus
 
 from cardamomtack.helpers.clock import Clock
 from cardamomtack_daemon.http1.body import BodyAbortedError
@@ -92,13 +92,20 @@
         """Return how many connections are open."""
         return len(self._connections)
 
-    async def async_serve(self, address: str, port: int) -> None:
-        """Serve callers until cancelled."""
+    async def async_serve(
+        self,
+        address: str,
+        port: int,
+        *,
+        task_status: TaskStatus[None] = TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve callers until cancelled; started once it listens."""
         async with create_task_group() as tasks:
             self._tasks = tasks
             server = await get_running_loop().create_server(
                 self._make_connection, address, port, backlog=BACKLOG
             )
+            task_status.started()
             try:
                 await self._async_close_idle()
             finally:
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/play.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/play.py
@@ -9,13 +9,19 @@
 from itertools import count
 from random import Random
 
+from cardamomtack.placing.const import POLL_S
 from cardamomtack_standins.model.load import (
     Arrival,
     KindLoad,
     LoadPlan,
     list_arrivals,
 )
-from cardamomtack_standins.model.policies import Policy
+from cardamomtack_standins.model.policies import (
+    Decisions,
+    EndedCall,
+    ModelCall,
+    Policy,
+)
 from cardamomtack_standins.model.server import Job, ModelServer, ServerTraits
 
 SENDS_MAX = 2
@@ -102,6 +108,8 @@
         self, plan: LoadPlan, shape: FleetShape, make_policy: PolicyMaker, seed: int
     ) -> None:
         random = Random(seed)
+        self._polling: set[int] = set()
+        self._random = Random(random.random())
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._numbers = count()
         self._outcome = PlayOutcome()
@@ -168,24 +176,62 @@
         """Let the policy of a VM place a request."""
         arrival = request.arrival
         request.sends += 1
+        if request.sends > 1:
+            # A new connection of a caller may reach another VM.
+            request.vm = self._random.randrange(len(self._policies))
+        call = ModelCall(
+            request.number,
+            arrival.kind,
+            arrival.at_s + arrival.kind.objective_s,
+            arrival.at_s + arrival.kind.deadline_s,
+        )
+        decision = self._policies[request.vm].place(call, now_s)
+        if decision is None:
+            self._plan_poll(request.vm, now_s)
+        else:
+            self._carry_out([(request.number, decision)], now_s)
+
+    def _carry_out(self, decisions: Decisions, now_s: float) -> None:
+        """Send requests to servers, or their callers back."""
+        for number, decision in decisions:
+            request = self._requests[number]
+            if isinstance(decision, float):
+                self._refuse(request, now_s + decision)
+            else:
+                self._start(request, decision, now_s)
+
+    def _start(self, request: _Request, server: int, now_s: float) -> None:
+        """Send a request to a server."""
+        arrival = request.arrival
         policy = self._policies[request.vm]
-        deadline_s = arrival.at_s + arrival.kind.deadline_s
-        placed = policy.place(arrival.kind, now_s, deadline_s, now_s)
-        if isinstance(placed, float):
-            self._refuse(request, now_s + placed, deadline_s)
-            return
-        policy.note_send(placed)
-        request.server = placed
+        policy.note_send(request.number, server)
+        request.server = server
         request.sent_at_s = now_s
         job = Job(request.number, arrival.work_s)
-        if not self.servers[placed].add_job(job, now_s):
-            policy.note_end(placed, arrival.kind, None)
-            self._refuse(request, now_s, deadline_s)
+        if not self.servers[server].add_job(job, now_s):
+            ended = EndedCall(request.number, arrival.kind, server)
+            policy.note_end(ended, None, now_s)
+            self._refuse(request, now_s)
             return
-        self._plan_finish(placed)
+        self._plan_finish(server)
 
-    def _refuse(self, request: _Request, back_s: float, deadline_s: float) -> None:
+    def _plan_poll(self, vm: int, now_s: float) -> None:
+        """Plan the next poll of a VM in which calls wait."""
+        if vm not in self._polling:
+            self._polling.add(vm)
+            self._push(now_s + POLL_S, partial(self._poll, vm))
+
+    def _poll(self, vm: int, now_s: float) -> None:
+        """Let a VM look for room for the calls that wait."""
+        self._polling.discard(vm)
+        self._carry_out(self._policies[vm].poll(now_s), now_s)
+        if self._policies[vm].waiting:
+            self._plan_poll(vm, now_s)
+
+    def _refuse(self, request: _Request, back_s: float) -> None:
         """Send a caller back, or count it as refused."""
+        arrival = request.arrival
+        deadline_s = arrival.at_s + arrival.kind.deadline_s
         if request.sends < SENDS_MAX and back_s < deadline_s:
             self._push(back_s, partial(self._send, request))
             return
@@ -209,9 +255,11 @@
         request = self._requests[job.request]
         kind = request.arrival.kind
         policy = self._policies[request.vm]
-        policy.note_end(server, kind, now_s - request.sent_at_s)
         if request.is_counted:
             self._count(kind, now_s - request.arrival.at_s)
+        duration_s = now_s - request.sent_at_s
+        ended = EndedCall(request.number, kind, server)
+        self._carry_out(policy.note_end(ended, duration_s, now_s), now_s)
 
     def _count(self, kind: KindLoad, latency_s: float) -> None:
         """Count an answer by its time since the first send."""
--- /dev/null
+++ b/tests/cardamomtack/placing/test_traits.py
@@ -0,0 +1,126 @@
+"""What is learnt of the servers of a service."""
+
+from __future__ import annotations
+
+import unittest
+
+from cardamomtack.placing.chooser import WorkEstimates, note_conditions
+from cardamomtack.placing.server import LoadReport, is_past_room
+from cardamomtack.placing.traits import SendConditions, ServiceTraits
+from cardamomtack_standins.model.load import plan_desk
+from cardamomtack_standins.model.play import FleetShape, LoadPlay
+from cardamomtack_standins.model.policies import AskingPolicy
+from cardamomtack_standins.model.server import ServerTraits
+from tests.cardamomtack.placing.test_decisions import make_server
+
+ANSWERS = 400
+USUAL = SendConditions(1.0, False, False)
+
+
+class ServiceTraitsTest(unittest.TestCase):
+    """One answer at a time."""
+
+    def setUp(self):
+        self.traits = ServiceTraits()
+
+    def learn(self, ratio, slowness=1.0, is_past_room=False, is_queued=False):
+        """Learn from many answers alike."""
+        conditions = SendConditions(slowness, is_past_room, is_queued)
+        for _ in range(ANSWERS):
+            self.traits.record_answer(conditions, ratio)
+
+    def test_a_speed_that_is_kept(self):
+        self.learn(4.0, slowness=4.0)
+        self.assertAlmostEqual(self.traits.estimate_slowness(4.0), 4.0, places=1)
+
+    def test_a_speed_that_passes(self):
+        self.learn(1.6, slowness=4.0)
+        self.assertAlmostEqual(self.traits.estimate_slowness(4.0), 1.6, places=1)
+        self.assertAlmostEqual(self.traits.estimate_slowness(2.0), 1.2, places=1)
+
+    def test_a_faster_server_is_estimated_faster(self):
+        self.assertLess(self.traits.estimate_slowness(0.5), 1.0)
+
+    def test_servers_that_slow_down_when_nearly_full_keep_their_last_slots_free(self):
+        server = make_server(report=(5, 0, 6))
+        server.traits = self.traits
+        self.learn(1.7, is_past_room=True)
+        self.assertTrue(is_past_room(server))
+        self.learn(1.0, is_past_room=True)
+        self.assertFalse(is_past_room(server))
+        server.record_report(LoadReport(6, 0, 6), 0.0)
+        self.assertTrue(is_past_room(server))
+
+    def test_what_waited_for_a_slot_tells_nothing(self):
+        known = (self.traits.full_slowdown, self.traits.speed_carry)
+        self.learn(9.0, slowness=4.0, is_queued=True)
+        self.learn(9.0, is_past_room=True, is_queued=True)
+        self.assertEqual((self.traits.full_slowdown, self.traits.speed_carry), known)
+
+    def test_values_stay_within_their_bounds(self):
+        for ratio in (0.0, 1e9):
+            self.learn(ratio, slowness=4.0)
+            self.learn(ratio, is_past_room=True)
+            self.assertTrue(0.0 <= self.traits.speed_carry <= 1.5)
+            self.assertTrue(1.0 <= self.traits.full_slowdown <= 4.0)
+
+
+class WorkEstimatesTest(unittest.TestCase):
+    """The work of a route."""
+
+    def test_slow_servers_do_not_count_as_work(self):
+        estimates, traits = WorkEstimates(), ServiceTraits()
+        estimates.record_answer("r", 0.1, USUAL, traits)
+        for _ in range(50):
+            slow = SendConditions(4.0, False, False)
+            estimates.record_answer("r", 0.4, slow, traits)
+            estimates.record_answer("r", 0.3, SendConditions(1.0, True, True), traits)
+        self.assertAlmostEqual(estimates.find_work_s("r"), 0.1)
+
+    def test_first_answer_of_a_slow_server_is_put_right(self):
+        estimates, traits = WorkEstimates(), ServiceTraits()
+        slow = SendConditions(4.0, False, False)
+        estimates.record_answer("r", 0.4, slow, traits)
+        self.assertAlmostEqual(estimates.find_work_s("r"), 0.1)
+
+    def test_conditions_are_those_before_the_send(self):
+        cases = [
+            (None, USUAL),
+            ((0, 0, 6, 4.0), SendConditions(4.0, False, False)),
+            ((5, 0, 6), SendConditions(1.0, True, False)),
+            ((6, 2, 6), SendConditions(1.0, True, True)),
+        ]
+        for report, expected in cases:
+            self.assertEqual(note_conditions(make_server(report=report)), expected)
+
+
+class PlayedTraitsTest(unittest.TestCase):
+    """Servers that behave otherwise than is assumed at the start."""
+
+    def play(self, traits):
+        """Return what is learnt in a play, and the credit share."""
+        policies = []
+
+        def make(servers, random, zone):
+            policies.append(AskingPolicy(servers, random, zone))
+            return policies[-1]
+
+        plan = plan_desk(20.0, ((0.0, 20.0, 2.2),))
+        outcome = LoadPlay(plan, FleetShape(traits=traits), make, 1).run(5.0)
+        return [policy.service.traits for policy in policies], outcome.credit_share
+
+    def test_both_ways_of_a_speed_are_learnt(self):
+        for keeps_speed in (True, False):
+            with self.subTest(keeps_speed):
+                traits = ServerTraits(slots=6, queue_max=12, keeps_speed=keeps_speed)
+                learnt, credit_share = self.play(traits)
+                carry = sum(one.speed_carry for one in learnt) / len(learnt)
+                self.assertGreater(credit_share, 0.85)
+                if keeps_speed:
+                    self.assertGreater(carry, 0.9)
+                else:
+                    self.assertLess(carry, 0.85)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/cardamomtack/placing/test_waiting.py
@@ -0,0 +1,145 @@
+"""Calls that wait for room: who goes first, for how long, and what it brings."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from cardamomtack.placing.const import FAIR_TURN, WAITING_SLOTS_PER_S_MIN
+from cardamomtack.placing.waiting import WaitingCall, WaitingLine
+from cardamomtack_standins.model.load import plan_desk
+from cardamomtack_standins.model.play import FleetShape, LoadPlay
+from cardamomtack_standins.model.policies import AskingPolicy
+from cardamomtack_standins.model.server import ServerTraits
+
+SEEDS = (1, 2)
+WORK_S = 0.1
+
+
+def make_call(priority=1, objective_at_s=1.0):
+    """Return a call."""
+    return WaitingCall(priority, objective_at_s, WORK_S)
+
+
+class WaitingLineTest(unittest.TestCase):
+    """The order of the calls, one decision at a time."""
+
+    def setUp(self):
+        self.line = WaitingLine()
+
+    def join(self, *calls, now_s=0.0):
+        """Let calls wait and return which may."""
+        return [self.line.join(call, now_s) for call in calls]
+
+    def take(self, now_s=0.0, is_fit=lambda call: True):
+        """Take out the call that goes first."""
+        call = self.line.choose(is_fit, now_s)
+        if call is not None:
+            self.line.leave(call)
+        return call
+
+    def test_urgent_calls_go_first_then_those_with_less_time(self):
+        calls = [make_call(2, 0.5), make_call(1, 0.9), make_call(1, 0.8)]
+        self.join(*calls)
+        self.assertEqual([self.take() for _ in calls], [calls[2], calls[1], calls[0]])
+
+    def test_no_kind_starves(self):
+        patient = make_call(2, 9.0)
+        self.join(patient, *(make_call(0, 9.0) for _ in range(20)))
+        taken = [self.take() for _ in range(FAIR_TURN)]
+        self.assertIn(patient, taken)
+
+    def test_room_that_fits_no_urgent_call_goes_to_another(self):
+        urgent, other = make_call(0), make_call(2)
+        self.join(urgent, other)
+        self.assertIs(self.take(is_fit=lambda call: call is other), other)
+        self.assertIsNone(self.take(is_fit=lambda call: False))
+        self.assertEqual(len(self.line), 1)
+
+    def test_a_call_that_cannot_be_in_time_does_not_wait(self):
+        self.assertEqual(self.join(make_call(objective_at_s=WORK_S)), [False])
+        call = make_call()
+        self.assertEqual(self.join(call), [True])
+        self.assertIsNone(self.take(now_s=call.last_start_s + 0.01))
+
+    def test_a_line_that_is_too_long_is_refused_at_once(self):
+        calls = [make_call(1, 1.0) for _ in range(100)]
+        may_wait = self.join(*calls)
+        left_s = calls[0].last_start_s
+        self.assertEqual(sum(may_wait), 1 + int(left_s * WAITING_SLOTS_PER_S_MIN))
+        # A call that goes before them all may wait.
+        self.assertEqual(self.join(make_call(0, 1.0)), [True])
+
+    def test_the_line_may_be_longer_where_more_slots_come_free(self):
+        for _ in range(100):
+            self.line.record_end(0.0)
+        self.assertTrue(all(self.join(*(make_call() for _ in range(100)))))
+
+    def test_pressure_lasts_for_a_while(self):
+        self.assertFalse(self.line.is_pressed(0.0))
+        call = make_call()
+        self.join(call)
+        self.line.leave(call)
+        self.assertTrue(self.line.is_pressed(0.5))
+        self.assertFalse(self.line.is_pressed(5.0))
+
+
+class PlayedWaitingTest(unittest.TestCase):
+    """What callers get with and without waiting, under the same load."""
+
+    def play(self, factor, shape, waits):
+        """Return the credit share as a mean over the seeds."""
+        plan = plan_desk(12.0, ((0.0, 12.0, factor),))
+
+        def make(servers, random, zone):
+            return AskingPolicy(servers, random, zone, waits=waits)
+
+        outcomes = [LoadPlay(plan, shape, make, seed).run(2.0) for seed in SEEDS]
+        return sum(one.credit_share for one in outcomes) / len(outcomes)
+
+    def test_waiting_earns_more_where_room_is_short(self):
+        shapes = (
+            FleetShape(),
+            FleetShape(17, 20, 3, ServerTraits(slots=3, queue_max=6)),
+            FleetShape(60, 14, 4),
+        )
+        for shape in shapes:
+            for factor in (2.0, 2.5):
+                with self.subTest(shape=shape, factor=factor):
+                    waiting = self.play(factor, shape, True)
+                    self.assertGreater(waiting, self.play(factor, shape, False))
+
+    def test_waiting_costs_nothing_on_a_calm_day(self):
+        calm = [self.play(1.0, FleetShape(), waits) for waits in (True, False)]
+        self.assertAlmostEqual(calm[0], calm[1], delta=0.005)
+
+    def test_an_overload_leaves_no_line_behind(self):
+        plan = replace(plan_desk(16.0), bursts=((2.0, 5.0, 4.0),))
+        policies = []
+
+        def make(servers, random, zone):
+            policies.append(AskingPolicy(servers, random, zone))
+            return policies[-1]
+
+        after = LoadPlay(plan, FleetShape(), make, 1).run(8.0)
+        self.assertGreater(after.credit_share, 0.95)
+        self.assertEqual([policy.waiting for policy in policies], [0] * len(policies))
+
+
+class AskingTest(unittest.TestCase):
+    """How many servers are asked for a request."""
+
+    def test_few_are_asked_on_a_calm_day(self):
+        policies = []
+
+        def make(servers, random, zone):
+            policies.append(AskingPolicy(servers, random, zone))
+            return policies[-1]
+
+        outcome = LoadPlay(plan_desk(12.0), FleetShape(), make, 1).run()
+        requests = sum(kind.asked for kind in outcome.kinds.values())
+        self.assertLess(sum(policy.asked for policy in policies), 3 * requests)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/cardamomtack_daemon/forwarding/test_life.py
+++ b/tests/cardamomtack_daemon/forwarding/test_life.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from unittest.mock import patch
+
 import anyio
 
 from cardamomtack.routing.policy import Repeatability
 from cardamomtack_daemon.forwarding.const import ASK_TIMEOUT_S
+from cardamomtack_daemon.http1.server import CallerServer
 from tests.cardamomtack_daemon.forwarding.case import (
     EntryVm,
     ForwardingCase,
@@ -44,6 +47,28 @@
 
         anyio.run(run)
 
+    def test_not_ready_before_callers_can_connect(self):
+        async def run():
+            vm = EntryVm()
+            vm.publish(make_configuration())
+            callers = vm.daemon._callers
+            serve = CallerServer.async_serve
+
+            async def serve_late(server, address, port, **status):
+                if server is callers:
+                    await anyio.sleep(0.3)
+                await serve(server, address, port, **status)
+
+            with patch.object(CallerServer, "async_serve", serve_late):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(vm.daemon.async_serve, vm.stopping)
+                    await vm.async_wait_ready()
+                    async with vm.open_caller():
+                        pass
+                    tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
     def test_unknown_route_is_not_found(self):
         async def scenario(vm, servers):
             answer = await vm.async_call("nowhere", "x-1")
