Try slow servers now and then, and draw a sample without a scan of all servers

Cause: what is learnt of a slow server's speed was learnt only from requests that went to one, and none did, so a speed that passes would never have been found out (the played load with such servers kept the assumption of the start). And each choice of a few servers went through all of a service (192 of them on the large site), though nearly all are usable; requests that went well counted the usable ones for their log line too.

Now one in 50 slow servers that are passed over gets the request. A sample draws twice as many as it needs and looks at all only when too few of them are usable; the own zone and the others are kept apart. The line of waiting calls is not sorted as a whole.

--- a/packages/cardamomtack/src/cardamomtack/discovery/registry.py
+++ b/packages/cardamomtack/src/cardamomtack/discovery/registry.py
@@ -79,7 +79,7 @@
         service = self.find_service(entry.service)
         server = ServerView(entry, now_s, service.traits)
         self.servers[entry.server_id] = server
-        service.members.append(server)
+        service.add_member(server)
 
     def remove_entry(self, server_id: str) -> None:
         """Take note that the entry of a server has vanished."""
@@ -107,7 +107,7 @@
         """Remove a server."""
         del self.servers[server.entry.server_id]
         self._held.pop(server.entry.server_id, None)
-        self.find_service(server.entry.service).members.remove(server)
+        self.find_service(server.entry.service).remove_member(server)
         server.is_gone = True
         for listener in self._listeners:
             listener(server)
--- a/packages/cardamomtack/src/cardamomtack/placing/chooser.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/chooser.py
@@ -38,6 +38,9 @@
     ServiceTraits,
 )
 
+SAMPLED_FACTOR = 2
+SCANNED_FACTOR = 4
+
 
 class WorkEstimates:
     """How long the work of each route takes on an idle server, in seconds."""
@@ -109,15 +112,15 @@
         count : int
             Most servers to return.
         """
-        usable = [
-            server
-            for server in service.members
-            if (server.entry.availability_zone == self._availability_zone)
-            is is_own_zone
-            and server.entry.server_id not in tried
-            and server.is_usable(now_s)
-        ]
-        sample = self._random.sample(usable, min(count, len(usable)))
+        members = service.list_members(self._availability_zone, is_own_zone)
+        sample: list[ServerView] = []
+        if len(members) > SCANNED_FACTOR * count:
+            # Most servers are usable, so a few more than needed nearly always do.
+            drawn = self._random.sample(members, SAMPLED_FACTOR * count)
+            sample = _list_usable(drawn, tried, now_s)[:count]
+        if len(sample) < count:
+            usable = _list_usable(members, tried, now_s)
+            sample = self._random.sample(usable, min(count, len(usable)))
         sample.sort(key=lambda server: server.estimate_failure_share(now_s) > DOUBT_MIN)
         return sample
 
@@ -211,3 +214,14 @@
         return SendConditions(SLOWNESS_USUAL, False, False)
     is_queued = count_ahead(server, report) >= report.slots
     return SendConditions(report.slowness, is_past_room(server), is_queued)
+
+
+def _list_usable(
+    servers: list[ServerView], tried: set[str], now_s: float
+) -> list[ServerView]:
+    """Return the servers that may get work and were not tried."""
+    return [
+        server
+        for server in servers
+        if server.is_usable(now_s) and server.entry.server_id not in tried
+    ]
--- a/packages/cardamomtack/src/cardamomtack/placing/const.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/const.py
@@ -48,7 +48,8 @@
 """Part of the retry budget that is spent, for VMs that are not known yet."""
 
 SILENCE_REST_S: Final = 0.25
-TRAIT_GAIN: Final = 0.02
+TRAIT_GAIN: Final = 0.05
+TRIAL_EVERY: Final = 50
 USUAL_GAIN: Final = 0.1
 WAITING_OPTIMISM: Final = 2.0
 """How many times as many slots as this VM frees may come free for its calls."""
--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -16,7 +16,11 @@
     SILENCE_REST_S,
     USUAL_GAIN,
 )
-from cardamomtack.placing.traits import SLOWNESS_USUAL, ServiceTraits
+from cardamomtack.placing.traits import (
+    SLOWNESS_CLEAR,
+    SLOWNESS_USUAL,
+    ServiceTraits,
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -119,6 +123,7 @@
         known = self.entry
         return (
             entry.service == known.service
+            and entry.availability_zone == known.availability_zone
             and entry.address == known.address
             and entry.port == known.port
             and entry.incarnation == known.incarnation
@@ -236,6 +241,7 @@
     __slots__ = (
         "_busy_share",
         "_slowness",
+        "_split",
         "members",
         "name",
         "tells_load",
@@ -245,11 +251,32 @@
     def __init__(self, name: str) -> None:
         self._busy_share: float | None = None
         self._slowness = SLOWNESS_USUAL
+        self._split: tuple[str, list[ServerView], list[ServerView]] | None = None
         self.name = name
         self.members: list[ServerView] = []
         self.tells_load: bool | None = None
         self.traits = ServiceTraits()
 
+    def add_member(self, server: ServerView) -> None:
+        """Take a server that has come."""
+        self.members.append(server)
+        self._split = None
+
+    def remove_member(self, server: ServerView) -> None:
+        """Drop a server that has gone."""
+        self.members.remove(server)
+        self._split = None
+
+    def list_members(self, zone: str, is_own_zone: bool) -> list[ServerView]:
+        """Return the servers of an availability zone, or those of all others."""
+        if self._split is None or self._split[0] != zone:
+            own = [one for one in self.members if one.entry.availability_zone == zone]
+            others = [
+                one for one in self.members if one.entry.availability_zone != zone
+            ]
+            self._split = (zone, own, others)
+        return self._split[1] if is_own_zone else self._split[2]
+
     def record_report(self, report: LoadReport) -> None:
         """Take the report of one server into the usual load of all."""
         busy_share = (report.running + report.waiting) / report.slots
@@ -290,6 +317,14 @@
     return count_ahead(server, report) + 1 > room
 
 
+def is_slow_with_room(server: ServerView) -> bool:
+    """Return whether a server has room and works more slowly than usual."""
+    report = server.report
+    if report is None or is_past_room(server):
+        return False
+    return report.slowness >= SLOWNESS_CLEAR
+
+
 def find_busy_share(server: ServerView) -> float:
     """Return the share of the slots that would be busy with one more request."""
     report = server.report
--- a/packages/cardamomtack/src/cardamomtack/placing/traits.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/traits.py
@@ -15,6 +15,7 @@
     FULL_SLOWDOWN_INITIAL,
     FULL_SLOWDOWN_MAX,
     TRAIT_GAIN,
+    TRIAL_EVERY,
 )
 
 CARRY_MAX = 1.5
@@ -61,9 +62,10 @@
         Part of the slowness at its start that a request keeps, from 0 to 1.
     """
 
-    __slots__ = ("full_slowdown", "speed_carry")
+    __slots__ = ("_passed_over", "full_slowdown", "speed_carry")
 
     def __init__(self) -> None:
+        self._passed_over = 0
         self.full_slowdown = FULL_SLOWDOWN_INITIAL
         self.speed_carry = 1.0
 
@@ -76,6 +78,14 @@
         """Return how many times as long as usual a request will take."""
         return SLOWNESS_USUAL + (slowness - SLOWNESS_USUAL) * self.speed_carry
 
+    def is_trial(self) -> bool:
+        """Return whether a slow server that is passed over is tried all the same.
+
+        Without a trial now and then nobody would learn that its speed passes.
+        """
+        self._passed_over += 1
+        return self._passed_over % TRIAL_EVERY == 0
+
     def record_answer(self, conditions: SendConditions, ratio: float) -> None:
         """Learn from an answer.
 
--- a/packages/cardamomtack/src/cardamomtack/placing/waiting.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/waiting.py
@@ -114,13 +114,14 @@
             Returns whether the room serves a call in time.
         """
         calls = [one for one in self._calls if one.last_start_s >= now_s]
-        if not calls:
-            return None
-        if (self._given + 1) % FAIR_TURN:
-            calls.sort(key=lambda one: (one.priority, one.objective_at_s))
-        chosen = next((one for one in calls if is_fit(one)), None)
-        self._given += chosen is not None
-        return chosen
+        is_fair_turn = (self._given + 1) % FAIR_TURN == 0
+        while calls:
+            first = calls[0] if is_fair_turn else min(calls, key=_rank_call)
+            if is_fit(first):
+                self._given += 1
+                return first
+            calls.remove(first)
+        return None
 
     def _estimate_slots_per_s(self, now_s: float) -> float:
         """Return how many slots a second may come free for calls of this VM."""
@@ -132,3 +133,8 @@
         """Forget the ends before the window."""
         while self._ended_at_s and self._ended_at_s[0] < now_s - RATE_WINDOW_S:
             self._ended_at_s.popleft()
+
+
+def _rank_call(call: WaitingCall) -> tuple[int, float]:
+    """Return what orders calls: the urgent ones first, then those with less time."""
+    return call.priority, call.objective_at_s
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
@@ -43,8 +43,6 @@
         The servers that it was sent to, and what became of it there.
     estimate_s : float or None
         When the best server was last expected to answer, in seconds.
-    usable : int
-        Servers of the service that might get work then.
     asked : int
         Servers that were asked for their load.
     waited_s : float
@@ -65,7 +63,6 @@
     tried: set[str] = field(default_factory=set)
     sends: list[SendRecord] = field(default_factory=list)
     estimate_s: float | None = None
-    usable: int = 0
     asked: int = 0
     waited_s: float = 0.0
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -232,6 +232,7 @@
         """Log how a call ended, and what decided it."""
         now_s = self._clock.read_monotonic_s()
         estimate_s = call.estimate_s
+        is_plain = reason == SendOutcome.ANSWERED.value and len(call.sends) == 1
         decision = RequestDecision(
             request_id=call.request_id.decode("latin-1"),
             route=call.route.name,
@@ -246,10 +247,9 @@
             objective_left_ms=int((call.objective_s - call.arrived_s) * MS_PER_S),
             asked=call.asked,
             waited_ms=int(call.waited_s * MS_PER_S),
-            usable=call.usable,
+            usable=0 if is_plain else self._placer.count_usable(call.service),
             sends=call.sends,
         )
-        is_plain = reason == SendOutcome.ANSWERED.value and len(call.sends) == 1
         self._decisions.record_decision(decision, is_plain)
 
     async def _async_forward(self, call: ForwardedCall) -> tuple[Handled, str]:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -22,6 +22,7 @@
     ServiceView,
     find_busy_share,
     is_past_room,
+    is_slow_with_room,
 )
 from cardamomtack_daemon.forwarding.asking import AskedServer, ServerAsker
 from cardamomtack_daemon.forwarding.call import ForwardedCall
@@ -116,6 +117,7 @@
         if queue is not None:
             queue.record_end()
             has_told = server.has_report_of(self._clock.read_monotonic_s())
+            has_told = has_told and not is_past_room(server)
             if has_told and connection.is_quiet():
                 asked = AskedServer(server, connection)
                 if queue.offer(asked):
@@ -141,7 +143,7 @@
             resting = self._chooser.sample_resting(service, call.tried)
             asked = await self._asker.async_ask(service, resting)
         best = self._choose(asked, call)
-        self._note_choice(service, best.server if best is not None else None, call)
+        self._note_choice(best.server if best is not None else None, call)
         if best is not None and not self._is_worth_it(best.server, call, queue):
             best = None
         self._asker.release(asked, best)
@@ -194,7 +196,7 @@
             if not is_done and ticket.got is not None:
                 self.take_back(ticket.got.server, ticket.got.connection)
         if placed is not None:
-            self._note_choice(service, placed.server, call)
+            self._note_choice(placed.server, call)
         return placed
 
     async def _async_poll(
@@ -230,12 +232,14 @@
             return None
         return await self._async_place_unasked(service, call, True, full)
 
-    def _note_choice(
-        self, service: ServiceView, best: ServerView | None, call: ForwardedCall
-    ) -> None:
-        """Note for the log what a choice was made from."""
+    def count_usable(self, service: str) -> int:
+        """Return how many servers of a service might get work."""
         now_s = self._clock.read_monotonic_s()
-        call.usable = sum(server.is_usable(now_s) for server in service.members)
+        members = self._registry.find_service(service).members
+        return sum(server.is_usable(now_s) for server in members)
+
+    def _note_choice(self, best: ServerView | None, call: ForwardedCall) -> None:
+        """Note for the log what a choice was made from."""
         call.estimate_s = None
         if best is not None:
             call.estimate_s = self._find_times(best, call).estimate_s
@@ -274,7 +278,9 @@
         """Return whether a call is sent to a server."""
         room = ServerRoom(find_busy_share(server), not is_past_room(server))
         times = self._find_times(server, call)
-        return is_worth_placing(times, room, queue.is_pressed)
+        if is_worth_placing(times, room, queue.is_pressed):
+            return True
+        return is_slow_with_room(server) and server.traits.is_trial()
 
     def _find_times(self, server: ServerView, call: ForwardedCall) -> PlacementTimes:
         """Return the times that decide whether a call goes to a server."""
@@ -309,7 +315,7 @@
         tried = set(call.tried)
         while self._clock.read_monotonic_s() < call.deadline_s:
             server = self._choose_unasked(service, tried, call, choices)
-            self._note_choice(service, server, call)
+            self._note_choice(server, call)
             if server is None:
                 return None
             times = self._find_times(server, call)
--- a/packages/cardamomtack_operator/src/cardamomtack_operator/story.py
+++ b/packages/cardamomtack_operator/src/cardamomtack_operator/story.py
@@ -60,10 +60,10 @@
         f"{request.version} of the configuration in force."
     ]
     age = "never" if request.servers_age_ms < 0 else f"{request.servers_age_ms} ms ago"
-    story.append(
-        f"The store had confirmed the servers {age}; {request.usable} of the service "
-        "could get work."
+    usable = (
+        f"; {request.usable} of the service could get work" if request.usable else ""
     )
+    story.append(f"The store had confirmed the servers {age}{usable}.")
     if request.estimate_ms >= 0:
         story.append(
             f"The best of the {request.asked} that were asked was expected to take "
