Count from the logs what became of requests, by cause and time

Cause: for want of a table, each look at a bad second began with a script of its own. cardamomtack ledger reads the lines of all VMs and prints a row for each cause and a column for each window, with the probes of choices, and the slots that quick servers had to spare at refusals for want of one. The reading of lines is shared with explain-request.

Ruled out: 'some server has a slot to spare' as a cause of its own.

--- a/packages/cardamomtack_operator/src/cardamomtack_operator/commands.py
+++ b/packages/cardamomtack_operator/src/cardamomtack_operator/commands.py
@@ -37,8 +37,9 @@
     EXIT_USAGE,
 )
 from cardamomtack_operator.fleet import FleetAddresses, FleetReader
+from cardamomtack_operator.ledger import build_ledger, format_ledger
 from cardamomtack_operator.output import print_error, print_findings, print_json
-from cardamomtack_operator.story import find_decisions, tell_story
+from cardamomtack_operator.story import find_decisions, read_lines, tell_story
 
 Action = Callable[[FleetReader], Awaitable[int]]
 
@@ -183,20 +184,29 @@
         logs : str
             Log files of the VMs; standard input without any.
         """
-        lines: list[str] = []
-        try:
-            for path in logs:
-                text = Path(path).read_text(encoding="utf-8", errors="replace")
-                lines += text.splitlines()
-        except OSError as error:
-            print_error(str(error))
-            raise SystemExit(EXIT_USAGE) from error
-        if not logs:
-            lines = sys.stdin.read().splitlines()
-        decisions = find_decisions(lines, str(request_id))
+        decisions = find_decisions(_read_logs(logs), str(request_id))
         print("\n".join(tell_story(decisions, str(request_id))))
         raise SystemExit(EXIT_OK if decisions else EXIT_FAILURE)
 
+    def ledger(self, *logs: str, window_s: float = 2.0) -> None:
+        """Count from logs what became of requests, by cause and time.
+
+        Example: cardamomtack ledger vm-*.log --window-s 2
+
+        Parameters
+        ----------
+        logs : str
+            Log files of the VMs; standard input without any.
+        window_s : float
+            Length of a column of the table, in seconds.
+        """
+        if window_s <= 0:
+            print_error(f"--window-s: {window_s:g} is not more than 0")
+            raise SystemExit(EXIT_USAGE)
+        ledger = build_ledger(read_lines(_read_logs(logs)), window_s)
+        print("\n".join(format_ledger(ledger)))
+        raise SystemExit(EXIT_OK if ledger.windows else EXIT_FAILURE)
+
     def _run(self, action: Action) -> None:
         """Run an action and end the process with its exit code."""
         code = anyio.run(self._async_run, action)
@@ -227,3 +237,18 @@
         print_findings(result.failure(), as_json)
         raise SystemExit(EXIT_FAILURE)
     return text
+
+
+def _read_logs(paths: tuple[str, ...]) -> list[str]:
+    """Return the lines of log files, or of standard input without any."""
+    if not paths:
+        return sys.stdin.read().splitlines()
+    lines: list[str] = []
+    try:
+        for path in paths:
+            text = Path(path).read_text(encoding="utf-8", errors="replace")
+            lines += text.splitlines()
+    except OSError as error:
+        print_error(str(error))
+        raise SystemExit(EXIT_USAGE) from error
+    return lines
--- a/packages/cardamomtack_operator/src/cardamomtack_operator/story.py
+++ b/packages/cardamomtack_operator/src/cardamomtack_operator/story.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from msgspec import DecodeError, ValidationError
 from msgspec.json import Decoder
@@ -15,27 +15,36 @@
 STATUS_GONE = 0
 
 
-def find_decisions(lines: Iterable[str], request_id: str) -> list[LogLine]:
-    """Return the lines of a request, in the order of their time.
+def read_lines(lines: Iterable[str]) -> Iterator[LogLine]:
+    """Read lines of the logs of any VMs.
 
-    Parameters
-    ----------
-    lines : iterable of str
-        Lines of the logs of any VMs; what stands before the first brace is left out,
-        and so are lines that can't be read.
+    What stands before the first brace is left out, and so are lines that can't be read.
     """
-    found: list[LogLine] = []
     for line in lines:
         start = line.find("{")
-        if start < 0 or request_id not in line:
+        if start < 0:
             continue
         try:
-            read = _DECODER.decode(line[start:])
+            yield _DECODER.decode(line[start:])
         except (DecodeError, ValidationError):
             continue
-        if read.request is not None and read.request.request_id == request_id:
-            found.append(read)
-    return sorted(found, key=lambda one: one.time)
+
+
+def find_decisions(lines: Iterable[str], request_id: str) -> list[LogLine]:
+    """Return the lines of a request, in the order of their time.
+
+    Parameters
+    ----------
+    lines : iterable of str
+        Lines of the logs of any VMs.
+    """
+    named = (line for line in lines if request_id in line)
+    found = [
+        line
+        for line in read_lines(named)
+        if line.request is not None and line.request.request_id == request_id
+    ]
+    return sorted(found, key=lambda line: line.time)
 
 
 def tell_story(decisions: list[LogLine], request_id: str) -> list[str]:
