Count only the daemon's memory where servers send without end

Of 73.8 MB of growth 47 MB were the bodies that the test's own callers kept in the same process (four bodies of 12 MB, and a copy at each part), and the faster the machine, the longer the bodies in 0.8 s. So the check measured its callers.

Now those callers keep 50 KB of a body. The bound is the same, and less of the growth is forgiven than before.

--- a/tests/cardamomtack_daemon/forwarding/callers.py
+++ b/tests/cardamomtack_daemon/forwarding/callers.py
@@ -10,12 +10,14 @@
 
 from tests.cardamomtack_daemon.forwarding.servers import STREAM_ERRORS
 
+BODY_BYTES_KEPT = 100_000_000
 HOST = "clinic.test"
 WAIT_S = 5.0
 
 
 class _AnswerCollector:
-    def __init__(self) -> None:
+    def __init__(self, body_bytes_kept: int) -> None:
+        self._body_bytes_kept = body_bytes_kept
         self.headers: dict[str, str] = {}
         self.body = b""
         self.is_whole = False
@@ -25,7 +27,8 @@
         self.headers[name.decode().lower()] = value.decode()
 
     def on_body(self, chunk: bytes) -> None:
-        self.body += chunk
+        if len(self.body) < self._body_bytes_kept:
+            self.body += chunk
 
     def on_message_complete(self) -> None:
         self.is_whole = True
@@ -43,9 +46,12 @@
 
 
 class Caller:
-    """One connection of a caller."""
+    """One connection of a caller, which keeps so much of the bodies that come."""
 
-    def __init__(self, stream: SocketStream) -> None:
+    def __init__(
+        self, stream: SocketStream, body_bytes_kept: int = BODY_BYTES_KEPT
+    ) -> None:
+        self._body_bytes_kept = body_bytes_kept
         self.stream = stream
         self._sent = 0
 
@@ -69,7 +75,7 @@
 
     async def async_receive(self) -> CallerAnswer:
         """Receive an answer, or what there is of it when the connection ends."""
-        collector = _AnswerCollector()
+        collector = _AnswerCollector(self._body_bytes_kept)
         started_s = anyio.current_time()
         try:
             with anyio.fail_after(WAIT_S):
--- a/tests/cardamomtack_daemon/forwarding/case.py
+++ b/tests/cardamomtack_daemon/forwarding/case.py
@@ -21,7 +21,12 @@
 from cardamomtack_daemon.forwarding.settings import EntrySettings
 from cardamomtack_daemon.logs import LogLineWriter
 from cardamomtack_standins.fleet import find_free_ports
-from tests.cardamomtack_daemon.forwarding.callers import WAIT_S, Caller, CallerAnswer
+from tests.cardamomtack_daemon.forwarding.callers import (
+    BODY_BYTES_KEPT,
+    WAIT_S,
+    Caller,
+    CallerAnswer,
+)
 from tests.cardamomtack_daemon.forwarding.memory import (
     MemoryCodec,
     MemoryMembers,
@@ -115,11 +120,11 @@
         self.entries.write(server_id, b"")
 
     @asynccontextmanager
-    async def open_caller(self):
+    async def open_caller(self, body_bytes_kept: int = BODY_BYTES_KEPT):
         """Open a connection of a caller."""
         stream = await anyio.connect_tcp("127.0.0.1", self.settings.port)
         async with stream:
-            yield Caller(stream)
+            yield Caller(stream, body_bytes_kept)
 
     async def async_call(
         self, route: str, request_id: str, body: bytes = b"", deadline_ms: int = 2000
--- a/tests/cardamomtack_daemon/forwarding/test_unbounded_responses.py
+++ b/tests/cardamomtack_daemon/forwarding/test_unbounded_responses.py
@@ -79,9 +79,13 @@
             answers = []
 
             async def call(number):
-                answers.append(
-                    await vm.async_call("book", f"b-{number}", b"v", DEADLINE_MS)
-                )
+                # What the caller would keep counts against the memory of the test.
+                async with vm.open_caller(len(PART)) as caller:
+                    answers.append(
+                        await caller.async_call(
+                            "book", f"b-{number}", b"v", DEADLINE_MS
+                        )
+                    )
 
             async with anyio.create_task_group() as tasks:
                 for number in range(CALLS):
