Send callers back until a moment at which coming back succeeds

Now the cause decides. A caller rejected by a server that tells capacity comes back within 20 ms. One that found no capacity comes back after its objective, spread over 0.3 of the time it has, twice the objective at most.

A further pause does not halve the callers refused again: in lasting overload the same number can't be served at all.

--- a/packages/cardamomtack/src/cardamomtack/placing/admission.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/admission.py
@@ -1,10 +1,17 @@
-"""Refusing: which requests are placed, and which are sent back.
+"""Refusing: which requests are placed, and which are sent back until when.
 
-The load that this answers: many more requests than the servers have room for. Room goes
-to what can still be answered in time. A request whose objective has passed gets what
-is left over: beside others that found no room lately, only servers that are half idle.
-A request that finds no room is refused at once, while it has not run, and its caller is
-told when to come back.
+This module handles overload, with many more requests than the servers have capacity
+for. Capacity goes to what can still be answered in time. A request whose objective has
+passed gets what is left over: beside others that found no capacity lately, only servers
+that are half idle. A request that finds none is refused at once, while it has not run.
+
+Its caller is told to come back after its objective, at any moment of a time that is as
+long as its deadline allows: a late answer is worth the same whenever it comes, and
+before that the caller would only compete with those who can still be in time.
+
+It also handles servers that reject a share of their requests although they have
+capacity. A caller whose request was rejected there comes back at once, since the next
+server may well take it, in time.
 """
 
 from __future__ import annotations
@@ -18,11 +25,15 @@
     WAIT_WORK_FACTOR,
 )
 
-RETRY_AFTER_S_MAX = 0.6
+PROMPT_RETRY_AFTER_S_MAX = 0.02
+RETRY_AFTER_OBJECTIVES_MAX = 2.0
 RETRY_AFTER_S_MIN = 0.1
 RETRY_AFTER_SHARE_MAX = 0.3
 """Share of the caller's time left after which it may still be sent back."""
 
+RETRY_AFTER_SPREAD_SHARE_MIN = 0.5
+"""Share of the longest pause over which callers are spread at least."""
+
 
 @dataclass(slots=True, frozen=True)
 class PlacementTimes:
@@ -56,6 +67,25 @@
         return self.objective_left_s > WAIT_WORK_FACTOR * self.work_s
 
 
+@dataclass(slots=True, frozen=True)
+class CallerTimes:
+    """The times that decide when a refused caller comes back, in seconds.
+
+    Attributes
+    ----------
+    objective_s : float
+        Latency objective of the route.
+    objective_left_s : float
+        Until the latency objective is missed.
+    caller_left_s : float
+        Until the caller gives up, also where the route would end the request before.
+    """
+
+    objective_s: float
+    objective_left_s: float
+    caller_left_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class ServerCapacity:
     """What a server has room for.
@@ -106,14 +136,23 @@
     return not is_overloaded or room.busy_share <= LATE_SLOT_SHARE_MAX
 
 
-def choose_retry_after_s(deadline_left_s: float, random: Random) -> float:
-    """Return when a refused caller should come back, in seconds.
+def choose_retry_after_s(times: CallerTimes, random: Random) -> float:
+    """Return when a caller that found no capacity should come back, in seconds.
 
     Callers that were refused together are spread, and each comes back with most of
     its time left.
     """
     longest_s = min(
-        RETRY_AFTER_S_MAX, RETRY_AFTER_SHARE_MAX * max(0.0, deadline_left_s)
+        RETRY_AFTER_OBJECTIVES_MAX * times.objective_s,
+        RETRY_AFTER_SHARE_MAX * max(0.0, times.caller_left_s),
+    )
+    shortest_s = min(
+        max(RETRY_AFTER_S_MIN, times.objective_left_s),
+        (1.0 - RETRY_AFTER_SPREAD_SHARE_MIN) * longest_s,
     )
-    shortest_s = min(RETRY_AFTER_S_MIN, longest_s)
     return random.uniform(shortest_s, longest_s)
+
+
+def choose_prompt_retry_after_s(random: Random) -> float:
+    """Return when a caller should come back that a server with capacity rejected."""
+    return random.uniform(0.0, PROMPT_RETRY_AFTER_S_MAX)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -10,9 +10,14 @@
 
 from cardamomtack.generated.logs import RequestDecision
 from cardamomtack.helpers.clock import MS_PER_S, Clock
-from cardamomtack.placing.admission import choose_retry_after_s
+from cardamomtack.placing.admission import (
+    CallerTimes,
+    choose_prompt_retry_after_s,
+    choose_retry_after_s,
+)
 from cardamomtack.placing.budget import RetryBudget, choose_budget_share
 from cardamomtack.placing.caller_wait import CallerWaitEstimator
+from cardamomtack.placing.server import is_near_capacity
 from cardamomtack.quarantine.tracker import CrashTracker
 from cardamomtack.routing.table import PrefixRoutes
 from cardamomtack.util.digests import digest_parts
@@ -278,6 +283,7 @@
         budget = self._find_budget(call.service)
         budget.record_request(call.arrived_s)
         result: SendResult | None = None
+        had_capacity = False
         while True:
             asked = await self._placer.async_place(call)
             if asked is None:
@@ -287,10 +293,12 @@
                 choose_budget_share(call.route.priority),
             ):
                 self._sender.release_unused(asked)
-                return self._finish(call, result, "retry budget is spent")
+                reason = "retry budget is spent"
+                return self._finish(call, result, reason, had_capacity)
             result = _keep_worse(result, await self._hedged.async_send(call, asked))
+            had_capacity = not is_near_capacity(asked.server)
             if not self._may_send_again(call, result):
-                return self._finish(call, result, result.outcome.value)
+                return self._finish(call, result, result.outcome.value, had_capacity)
 
     def _may_send_again(self, call: ForwardedCall, result: SendResult) -> bool:
         """Return whether a call may be sent to another server."""
@@ -305,13 +313,21 @@
         return self._clock.read_monotonic_s() < call.deadline_s
 
     def _finish(
-        self, call: ForwardedCall, result: SendResult | None, reason: str
+        self,
+        call: ForwardedCall,
+        result: SendResult | None,
+        reason: str,
+        had_capacity: bool = False,
     ) -> tuple[Handled, str]:
-        """Return the final answer of a call, and the reason for the log."""
-        now_s = self._clock.read_monotonic_s()
+        """Return the final answer of a call, and the reason for the log.
+
+        Parameters
+        ----------
+        had_capacity : bool
+            Whether the last server that rejected it told that it had capacity.
+        """
         if result is None or result.outcome is SendOutcome.NOT_RUN:
-            self._refused_at_s = now_s
-            retry_after_s = choose_retry_after_s(call.deadline_s - now_s, self._random)
+            retry_after_s = self._choose_retry_after_s(call, had_capacity)
             return (_write_refusal(reason, retry_after_s), None), reason
         if result.answer is not None:
             return (result.answer, result.rest), reason
@@ -319,6 +335,17 @@
         problem = build_problem(status, result.outcome.value, OUTCOME_UNKNOWN)
         return (problem, None), reason
 
+    def _choose_retry_after_s(self, call: ForwardedCall, had_capacity: bool) -> float:
+        """Return when the caller of a refused call should come back, in seconds."""
+        if had_capacity:
+            return choose_prompt_retry_after_s(self._random)
+        now_s = self._clock.read_monotonic_s()
+        self._refused_at_s = now_s
+        times = CallerTimes(
+            call.route.objective_s, call.objective_s - now_s, call.leaves_at_s - now_s
+        )
+        return choose_retry_after_s(times, self._random)
+
     def _find_budget(self, service: str) -> RetryBudget:
         """Return the budget of further sends to a service."""
         budget = self._budgets.get(service)
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/server.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/server.py
@@ -27,6 +27,8 @@
         Share of busy slots beyond which work takes so many times as long.
     keeps_speed : bool
         Whether a request keeps the speed with which it began.
+    rejected_share : float
+        Share of the requests that it rejects although it has capacity.
     """
 
     slots: int
@@ -37,6 +39,7 @@
     full_share: float = 0.8
     full_factor: float = 1.7
     keeps_speed: bool = True
+    rejected_share: float = 0.0
 
 
 class Job:
@@ -120,6 +123,9 @@
     def add_job(self, job: Job, now_s: float) -> bool:
         """Take a job and return whether there was room."""
         self.advance(now_s)
+        rejected_share = self.traits.rejected_share
+        if rejected_share and self._random.random() < rejected_share:
+            return False
         if len(self.running) < self.traits.slots:
             self._start(job)
             return True
