Take the work of a route to be a share of its objective before its first answer

Cause: 0.2 s was assumed for a route without an answer.

Now it is a third of the route's objective.

Test: first requests of twenty routes on idle servers probe less than two servers each; before, it failed with objectives of 0.3 s.

--- a/packages/cardamomtack/src/cardamomtack/placing/chooser.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/chooser.py
@@ -22,7 +22,7 @@
     PROBED_MIN,
     WARM_UP_COST_FACTOR,
     WORK_GAIN,
-    WORK_INITIAL_S,
+    WORK_INITIAL_OBJECTIVE_SHARE,
     ZONE_CROSSING_S,
 )
 from cardamomtack.placing.server import (
@@ -50,9 +50,12 @@
     def __init__(self) -> None:
         self._estimates: dict[str, float] = {}
 
-    def estimate_work_s(self, route: str) -> float:
-        """Return the work of a route, in seconds."""
-        return self._estimates.get(route, WORK_INITIAL_S)
+    def estimate_work_s(self, route: str, objective_s: float) -> float:
+        """Return the work of a route, in seconds.
+
+        Before its first answer it is taken to be a share of the latency objective.
+        """
+        return self._estimates.get(route, WORK_INITIAL_OBJECTIVE_SHARE * objective_s)
 
     def record_answer(
         self,
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/hedging.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/hedging.py
@@ -155,7 +155,7 @@
 
     def _open_send(self, call: ForwardedCall, asked: ProbedServer) -> ServerSend:
         """Return a send of a call."""
-        work_s = self._placer.estimates.estimate_work_s(call.route.name)
+        work_s = self._placer.estimate_work_s(call)
         return self._sender.open_send(call, asked, work_s)
 
     def _learn(self, send: ServerSend, result: SendResult) -> None:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -186,7 +186,7 @@
         async def poll() -> None:
             await self._async_poll(service, call, queue)
 
-        work_s = self.estimates.estimate_work_s(call.route.name)
+        work_s = self.estimate_work_s(call)
         began_s = self._clock.read_monotonic_s()
         ticket = AsyncQueuedCall(call.route.priority, call.objective_s, work_s, is_fit)
         is_done = False
@@ -236,6 +236,10 @@
             return None
         return await self._async_place_unasked(service, call, True, full)
 
+    def estimate_work_s(self, call: ForwardedCall) -> float:
+        """Return the work of a call on an idle server, in seconds."""
+        return self.estimates.estimate_work_s(call.route.name, call.route.objective_s)
+
     def count_usable(self, service: str) -> int:
         """Return how many servers of a service might get work."""
         now_s = self._clock.read_monotonic_s()
@@ -256,7 +260,7 @@
         Those with room come first. A server may have left while it was asked.
         """
         now_s = self._clock.read_monotonic_s()
-        work_s = self.estimates.estimate_work_s(call.route.name)
+        work_s = self.estimate_work_s(call)
         usable = [one.server for one in asked if one.server.is_usable(now_s)]
         with_room = [server for server in usable if not is_near_capacity(server)]
         chosen = self._chooser.choose_server(with_room or usable, work_s, now_s)
@@ -272,7 +276,7 @@
         objective_left_s = call.objective_s - now_s
         if objective_left_s <= 0:
             return True
-        work_s = self.estimates.estimate_work_s(call.route.name)
+        work_s = self.estimate_work_s(call)
         cost_s = self._chooser.estimate_cost_s(server, work_s, now_s)
         return is_good_enough(cost_s, objective_left_s)
 
@@ -291,7 +295,7 @@
     def _find_times(self, server: ServerView, call: ForwardedCall) -> PlacementTimes:
         """Return the times that decide whether a call goes to a server."""
         now_s = self._clock.read_monotonic_s()
-        work_s = self.estimates.estimate_work_s(call.route.name)
+        work_s = self.estimate_work_s(call)
         return PlacementTimes(
             self._chooser.estimate_s(server, work_s, now_s),
             work_s,
@@ -360,7 +364,7 @@
         if not servers and choices is None:
             servers = self._chooser.sample_ejected(service, tried)
         assume_loads(service, servers, now_s)
-        work_s = self.estimates.estimate_work_s(call.route.name)
+        work_s = self.estimate_work_s(call)
         return self._chooser.choose_server(servers, work_s, now_s)
 
     def _find_queue(self, service: str) -> AsyncWaitQueue:
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
@@ -328,7 +328,7 @@
                 if self._is_enough(view, call, now_s):
                     return view
         with_room = [view for view in asked if not is_near_capacity(view)]
-        work_s = self._estimates.estimate_work_s(call.kind.name)
+        work_s = self._estimate_work_s(call)
         return self._chooser.choose_server(with_room or asked, work_s, now_s)
 
     def _sample(
@@ -362,7 +362,7 @@
         if not self._is_worth_it(view, call, now_s):
             return False
         left_s = call.objective_at_s - now_s
-        work_s = self._estimates.estimate_work_s(call.kind.name)
+        work_s = self._estimate_work_s(call)
         cost_s = self._chooser.estimate_cost_s(view, work_s, now_s)
         return left_s <= 0 or is_good_enough(cost_s, left_s)
 
@@ -374,11 +374,16 @@
             return True
         return is_slow_with_capacity(view) and view.slowdown_estimates.is_trial_due()
 
+    def _estimate_work_s(self, call: ModelCall) -> float:
+        """Return the work of a call, in seconds."""
+        kind = call.kind
+        return self._estimates.estimate_work_s(kind.name, kind.objective_s)
+
     def _find_times(
         self, view: ServerView, call: ModelCall, now_s: float
     ) -> PlacementTimes:
         """Return the times that decide whether a call goes to a server."""
-        work_s = self._estimates.estimate_work_s(call.kind.name)
+        work_s = self._estimate_work_s(call)
         return PlacementTimes(
             self._chooser.estimate_s(view, work_s, now_s),
             work_s,
@@ -399,7 +404,7 @@
 
     def _keep(self, call: ModelCall, now_s: float) -> Decision:
         """Let a call wait, or send it back."""
-        work_s = self._estimates.estimate_work_s(call.kind.name)
+        work_s = self._estimate_work_s(call)
         queued = _ModelQueuedCall(call, work_s)
         if self._waits and self._line.enqueue(queued, now_s):
             return None
@@ -435,5 +440,5 @@
         sample = self._chooser.sample_servers(self.service, set(), True, now_s)
         sample += self._chooser.sample_servers(self.service, set(), False, now_s)
         assume_loads(self.service, sample, now_s)
-        work_s = self._estimates.estimate_work_s(call.kind.name)
+        work_s = self._estimate_work_s(call)
         return self._chooser.choose_server(sample, work_s, now_s)
--- a/tests/cardamomtack/placing/test_slowdown.py
+++ b/tests/cardamomtack/placing/test_slowdown.py
@@ -101,13 +101,13 @@
             estimates.record_answer(
                 "r", 0.3, SendConditions(1.0, True, True), slowdown_estimates
             )
-        self.assertAlmostEqual(estimates.estimate_work_s("r"), 0.1)
+        self.assertAlmostEqual(estimates.estimate_work_s("r", 0.3), 0.1)
 
     def test_first_answer_of_a_slow_server_is_put_right(self):
         estimates, slowdown_estimates = WorkEstimates(), SlowdownEstimates()
         slow = SendConditions(4.0, False, False)
         estimates.record_answer("r", 0.4, slow, slowdown_estimates)
-        self.assertAlmostEqual(estimates.estimate_work_s("r"), 0.1)
+        self.assertAlmostEqual(estimates.estimate_work_s("r", 0.3), 0.1)
 
     def test_conditions_are_those_before_the_send(self):
         cases = [
--- a/tests/cardamomtack/placing/test_wait_queue.py
+++ b/tests/cardamomtack/placing/test_wait_queue.py
@@ -7,7 +7,7 @@
 
 from cardamomtack.placing.const import FREED_SLOTS_PER_S_MIN, LONGEST_WAITING_EVERY
 from cardamomtack.placing.wait_queue import QueuedCall, WaitQueue
-from cardamomtack_standins.model.load import plan_desk
+from cardamomtack_standins.model.load import KindLoad, LoadPlan, plan_desk
 from cardamomtack_standins.model.play import FleetShape, LoadPlay
 from cardamomtack_standins.model.policies import AskingPolicy
 from cardamomtack_standins.model.server import ServerTraits
@@ -140,6 +140,26 @@
         requests = sum(kind.asked for kind in outcome.kinds.values())
         self.assertLess(sum(policy.asked for policy in policies), 3 * requests)
 
+    def test_few_are_asked_for_the_first_requests_of_a_route(self):
+        # Each VM sees each of these routes for the first time, on idle servers.
+        for objective_s in (0.3, 2.0):
+            work_s = objective_s / 3
+            kinds = tuple(
+                KindLoad(f"route-{n}", 1.0, work_s, objective_s, 5.0, 1)
+                for n in range(20)
+            )
+            policies = []
+
+            def make(servers, random, zone, policies=policies):
+                policies.append(AskingPolicy(servers, random, zone))
+                return policies[-1]
+
+            outcome = LoadPlay(LoadPlan(kinds, 3.0), FleetShape(), make, 1).run()
+            requests = sum(kind.asked for kind in outcome.kinds.values())
+            with self.subTest(objective_s):
+                asked = sum(policy.asked for policy in policies)
+                self.assertLess(asked, 2 * requests)
+
 
 if __name__ == "__main__":
     unittest.main()
