Leave the answered request out of the load that its answer tells

In the calm first second no answer tells 0 running (373 answers tell 1 to 5) while 96 of 403 probes do: a server counts a request until its answer has left.

Now the report of an answer counts without the answered request, unless a server of the service has once told in an answer that nothing runs.

Tests: a waiting call gets the slot that an answer frees (it waited for a check before); played load with the reports as servers send them.

--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import inf
 
 from cardamomtack.discovery.entry import ServerEntry
@@ -158,6 +158,11 @@
         self._reported_at_s = now_s
         self._silences = 0
 
+    def record_answer_report(self, report: LoadReport, now_s: float) -> None:
+        """Take the load report of the answer to a request that has run."""
+        running = self.slowdown_estimates.exclude_answered(report.running)
+        self.record_report(replace(report, running=running), now_s)
+
     def assume_report(self, report: LoadReport, now_s: float) -> None:
         """Take a report worked out from other servers' in place of none or an old one.
 
--- a/packages/cardamomtack/src/cardamomtack/placing/slowdown.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/slowdown.py
@@ -62,9 +62,15 @@
         Part of the slowness at its start that a request keeps, from 0 to 1.
     """
 
-    __slots__ = ("_passed_over", "near_capacity_slowdown", "slowness_persistence")
+    __slots__ = (
+        "_counts_answered",
+        "_passed_over",
+        "near_capacity_slowdown",
+        "slowness_persistence",
+    )
 
     def __init__(self) -> None:
+        self._counts_answered = True
         self._passed_over = 0
         self.near_capacity_slowdown = NEAR_CAPACITY_SLOWDOWN_INITIAL
         self.slowness_persistence = 1.0
@@ -78,6 +84,16 @@
             else NEAR_CAPACITY_SHARE
         )
 
+    def exclude_answered(self, running: float) -> float:
+        """Return how many requests run, by the report of an answer, without its own.
+
+        A server counts a request until its answer has left, unless an answer has told
+        that nothing runs.
+        """
+        if running < 1:
+            self._counts_answered = False
+        return running - 1 if self._counts_answered else running
+
     def estimate_slowness(self, slowness: float) -> float:
         """Return how many times as long as usual a request will take."""
         return SLOWNESS_USUAL + (slowness - SLOWNESS_USUAL) * self.slowness_persistence
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -291,9 +291,12 @@
         now_s = self._clock.read_monotonic_s()
         value = answer.find_header(call.names.load)
         report = call.names.parse_load(value) if value is not None else None
-        if report is not None:
+        is_not_run = call.is_not_run(answer.status, answer.headers)
+        if report is not None and is_not_run:
             server.record_report(report, now_s)
-        if call.is_not_run(answer.status, answer.headers):
+        elif report is not None:
+            server.record_answer_report(report, now_s)
+        if is_not_run:
             if answer.status == STATUS_MISDIRECTED:
                 server.record_unreachable(now_s)
             elif not is_near_capacity(server):
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
@@ -313,7 +313,8 @@
         self._estimates.record_answer(
             call.kind.name, duration_s, conditions, view.slowdown_estimates
         )
-        view.record_report(self._servers[call.server].write_report(), now_s)
+        report = self._servers[call.server].write_answer_report()
+        view.record_answer_report(report, now_s)
         self._line.record_freed_slot(now_s)
         return self._offer(view, now_s)
 
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/server.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from cardamomtack.placing.server import LoadReport
@@ -114,6 +114,14 @@
             len(self.running), len(self.waiting), self.traits.slots, self.slowness
         )
 
+    def write_answer_report(self) -> LoadReport:
+        """Return the load that an answer tells, which counts its own request.
+
+        The job of the request has been taken out before.
+        """
+        report = self.write_report()
+        return replace(report, running=report.running + 1)
+
     def shift_speed(self, now_s: float) -> None:
         """Draw the speed of the next while."""
         self.advance(now_s)
--- a/tests/cardamomtack/placing/test_slowdown.py
+++ b/tests/cardamomtack/placing/test_slowdown.py
@@ -79,6 +79,11 @@
             known,
         )
 
+    def test_answers_count_their_own_request_until_one_tells_none(self):
+        told = [4, 1, 2, 0, 4, 1]
+        believed = [self.slowdown_estimates.exclude_answered(one) for one in told]
+        self.assertEqual(believed, [3, 0, 1, 0, 4, 1])
+
     def test_values_stay_within_their_bounds(self):
         for ratio in (0.0, 1e9):
             self.learn(ratio, slowness=4.0)
--- a/tests/cardamomtack/placing/test_wait_queue.py
+++ b/tests/cardamomtack/placing/test_wait_queue.py
@@ -7,7 +7,12 @@
 
 from cardamomtack.placing.const import FREED_SLOTS_PER_S_MIN, LONGEST_WAITING_EVERY
 from cardamomtack.placing.wait_queue import QueuedCall, WaitQueue
-from cardamomtack_standins.model.load import KindLoad, LoadPlan, plan_desk
+from cardamomtack_standins.model.load import (
+    KindLoad,
+    LoadPlan,
+    plan_desk,
+    plan_short_work,
+)
 from cardamomtack_standins.model.play import FleetShape, LoadPlay
 from cardamomtack_standins.model.policies import AskingPolicy
 from cardamomtack_standins.model.server import ServerTraits
@@ -126,6 +131,42 @@
         self.assertEqual([policy.waiting for policy in policies], [0] * len(policies))
 
 
+class CountsAnsweredPolicy(AskingPolicy):
+    """The product's policy, but what answers tell is taken as it is."""
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        # As after an answer that told that nothing runs.
+        self.service.slowdown_estimates.exclude_answered(0)
+
+
+class PlayedHandoverTest(unittest.TestCase):
+    """Slots that answers free, within a budget of probes, while more calls come."""
+
+    def test_freed_slots_are_handed_on(self):
+        shape = FleetShape(16, 27, 3)
+        probes_per_s = 60.0 * shape.servers / shape.vms
+        for factor in (2.5, 3.5):
+            plan = plan_short_work(8.0, ((1.0, 7.0, factor),))
+            credit, probes = [], []
+            for policy in (AskingPolicy, CountsAnsweredPolicy):
+                policies = []
+
+                def make(servers, random, zone, policy=policy, policies=policies):
+                    policies.append(
+                        policy(servers, random, zone, checks_per_s=probes_per_s)
+                    )
+                    return policies[-1]
+
+                credit.append(
+                    sum(LoadPlay(plan, shape, make, s).run().credit for s in SEEDS)
+                )
+                probes.append(sum(policy.asked for policy in policies))
+            with self.subTest(factor):
+                self.assertGreater(credit[0], credit[1])
+                self.assertLess(probes[0], probes[1])
+
+
 class AskingTest(unittest.TestCase):
     """How many servers are asked for a request."""
 
