Count a server's failures beyond those that are usual at its service

Now only what lies beyond the median of the service counts, and where failures are usual one more than that tells nothing. With a few bad servers the median is 0, as before.

The model of servers notes rejections in spite of capacity, as the daemon does, and the test of the rejecting servers plays the budget that VMs have.

--- a/packages/cardamomtack/src/cardamomtack/placing/chooser.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/chooser.py
@@ -126,7 +126,8 @@
             sample = self._random.sample(usable, min(count, len(usable)))
         sample.sort(
             key=lambda server: (
-                server.estimate_failure_share(now_s) > PROBED_LAST_FAILURE_SHARE
+                service.estimate_excess_failures(server, now_s)
+                > PROBED_LAST_FAILURE_SHARE
             )
         )
         return sample
@@ -153,17 +154,26 @@
             estimate_s += ZONE_CROSSING_S
         return estimate_s
 
-    def estimate_cost_s(self, server: ServerView, work_s: float, now_s: float) -> float:
+    def estimate_cost_s(
+        self, service: ServiceView, server: ServerView, work_s: float, now_s: float
+    ) -> float:
         """Return the seconds until the server's answer, with a penalty for failures.
 
-        The penalty decides between servers. It does not make a server too slow for a
-        request: one that fails now and then is better than none.
+        The penalty decides between servers, so it counts only failures beyond those of
+        half of the service: where all servers fail alike, no other is better. It does
+        not make a server too slow for a request: one that fails now and then is better
+        than none.
         """
-        doubt = FAILURE_COST_FACTOR * server.estimate_failure_share(now_s)
-        return self.estimate_s(server, work_s, now_s) * (1.0 + doubt)
+        excess = service.estimate_excess_failures(server, now_s)
+        estimate_s = self.estimate_s(server, work_s, now_s)
+        return estimate_s * (1.0 + FAILURE_COST_FACTOR * excess)
 
     def choose_server(
-        self, servers: list[ServerView], work_s: float, now_s: float
+        self,
+        service: ServiceView,
+        servers: list[ServerView],
+        work_s: float,
+        now_s: float,
     ) -> ServerView | None:
         """Return the server that is expected to answer first, or None.
 
@@ -172,7 +182,7 @@
         return min(
             servers,
             key=lambda server: (
-                self.estimate_cost_s(server, work_s, now_s),
+                self.estimate_cost_s(service, server, work_s, now_s),
                 self._random.random(),
             ),
             default=None,
--- a/packages/cardamomtack/src/cardamomtack/placing/const.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/const.py
@@ -19,6 +19,9 @@
 FAILURE_COST_FACTOR: Final = 6.0
 FAILURE_GAIN: Final = 0.25
 FAILURE_HALF_LIFE_S: Final = 3.0
+FAILURE_SHARE_AGE_S_MAX: Final = 0.1
+"""For how long the usual share of failures of a service is not worked out again."""
+
 NEAR_CAPACITY_SHARE: Final = 0.8
 NEAR_CAPACITY_SLOWDOWN_HARMLESS: Final = 1.2
 """Below which the last slots of a server bring more than they take."""
--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, replace
 from math import inf
+from statistics import median_low
 
 from cardamomtack.discovery.entry import ServerEntry
 from cardamomtack.placing.const import (
@@ -12,6 +13,7 @@
     EJECTION_S_MIN,
     FAILURE_GAIN,
     FAILURE_HALF_LIFE_S,
+    FAILURE_SHARE_AGE_S_MAX,
     PROBE_TIMEOUT_EJECTION_S,
     REPORT_AGE_S_MAX,
     USUAL_GAIN,
@@ -252,6 +254,8 @@
 
     __slots__ = (
         "_busy_share",
+        "_failure_share",
+        "_failure_share_at_s",
         "_slowness",
         "_split",
         "members",
@@ -262,6 +266,8 @@
 
     def __init__(self, name: str) -> None:
         self._busy_share: float | None = None
+        self._failure_share = 0.0
+        self._failure_share_at_s = -inf
         self._slowness = SLOWNESS_USUAL
         self._split: tuple[str, list[ServerView], list[ServerView]] | None = None
         self.name = name
@@ -279,6 +285,23 @@
         self.members.remove(server)
         self._split = None
 
+    def estimate_usual_failure_share(self, now_s: float) -> float:
+        """Return the median of its servers' shares of failures."""
+        if now_s - self._failure_share_at_s > FAILURE_SHARE_AGE_S_MAX:
+            self._failure_share_at_s = now_s
+            shares = [server.estimate_failure_share(now_s) for server in self.members]
+            self._failure_share = median_low(shares) if shares else 0.0
+        return self._failure_share
+
+    def estimate_excess_failures(self, server: ServerView, now_s: float) -> float:
+        """Return by how much a server's share of failures exceeds what is usual.
+
+        Where failures are usual, one more than at the others tells nothing.
+        """
+        usual = self.estimate_usual_failure_share(now_s)
+        expected = usual + min(usual, FAILURE_GAIN)
+        return max(0.0, server.estimate_failure_share(now_s) - expected)
+
     def list_members(self, zone: str, is_own_zone: bool) -> list[ServerView]:
         """Return the servers of an availability zone, or those of all others."""
         if self._split is None or self._split[0] != zone:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -260,10 +260,13 @@
         Those with room come first. A server may have left while it was asked.
         """
         now_s = self._clock.read_monotonic_s()
+        service = self._registry.find_service(call.service)
         work_s = self.estimate_work_s(call)
         usable = [one.server for one in asked if one.server.is_usable(now_s)]
         with_room = [server for server in usable if not is_near_capacity(server)]
-        chosen = self._chooser.choose_server(with_room or usable, work_s, now_s)
+        chosen = self._chooser.choose_server(
+            service, with_room or usable, work_s, now_s
+        )
         return next((one for one in asked if one.server is chosen), None)
 
     def _is_enough(
@@ -273,11 +276,12 @@
         now_s = self._clock.read_monotonic_s()
         if not server.is_usable(now_s) or not self._is_worth_it(server, call, queue):
             return False
+        service = self._registry.find_service(call.service)
         objective_left_s = call.objective_s - now_s
         if objective_left_s <= 0:
             return True
         work_s = self.estimate_work_s(call)
-        cost_s = self._chooser.estimate_cost_s(server, work_s, now_s)
+        cost_s = self._chooser.estimate_cost_s(service, server, work_s, now_s)
         return is_good_enough(cost_s, objective_left_s)
 
     def _is_worth_it(
@@ -365,7 +369,7 @@
             servers = self._chooser.sample_ejected(service, tried)
         assume_loads(service, servers, now_s)
         work_s = self.estimate_work_s(call)
-        return self._chooser.choose_server(servers, work_s, now_s)
+        return self._chooser.choose_server(service, servers, work_s, now_s)
 
     def _find_queue(self, service: str) -> AsyncWaitQueue:
         """Return the calls that wait for room at a service."""
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
@@ -309,6 +309,8 @@
         view.record_end()
         conditions = self._conditions.pop(call.number)
         if duration_s is None:
+            if not is_near_capacity(view):
+                view.record_soft_failure(now_s)
             return []
         self._estimates.record_answer(
             call.kind.name, duration_s, conditions, view.slowdown_estimates
@@ -330,7 +332,9 @@
                     return view
         with_room = [view for view in asked if not is_near_capacity(view)]
         work_s = self._estimate_work_s(call)
-        return self._chooser.choose_server(with_room or asked, work_s, now_s)
+        return self._chooser.choose_server(
+            self.service, with_room or asked, work_s, now_s
+        )
 
     def _sample(
         self, call: ModelCall, is_own_zone: bool, now_s: float
@@ -364,7 +368,7 @@
             return False
         left_s = call.objective_at_s - now_s
         work_s = self._estimate_work_s(call)
-        cost_s = self._chooser.estimate_cost_s(view, work_s, now_s)
+        cost_s = self._chooser.estimate_cost_s(self.service, view, work_s, now_s)
         return left_s <= 0 or is_good_enough(cost_s, left_s)
 
     def _is_worth_it(self, view: ServerView, call: ModelCall, now_s: float) -> bool:
@@ -442,4 +446,4 @@
         sample += self._chooser.sample_servers(self.service, set(), False, now_s)
         assume_loads(self.service, sample, now_s)
         work_s = self._estimate_work_s(call)
-        return self._chooser.choose_server(sample, work_s, now_s)
+        return self._chooser.choose_server(self.service, sample, work_s, now_s)
--- a/tests/cardamomtack/placing/test_decisions.py
+++ b/tests/cardamomtack/placing/test_decisions.py
@@ -33,14 +33,23 @@
     return server
 
 
+def make_service(*servers):
+    """Return a service of some servers."""
+    service = ServiceView("desk")
+    for server in servers:
+        service.add_member(server)
+    return service
+
+
 class ChooserTest(unittest.TestCase):
     """Which of two servers is taken."""
 
     def check(self, better, worse):
         """Check that one server is taken rather than another."""
         chooser = PlacementChooser(Random(1), "a")
+        service = make_service(better, worse)
         for servers in ([better, worse], [worse, better]):
-            self.assertIs(chooser.choose_server(servers, 0.2, 0.0), better)
+            self.assertIs(chooser.choose_server(service, servers, 0.2, 0.0), better)
 
     def test_speed_of_now(self):
         self.check(
@@ -75,6 +84,30 @@
         failing.record_failure(0.0)
         self.check(make_server(report=(2, 0, 6)), failing)
 
+    def test_failures_count_beyond_those_of_half_of_the_service(self):
+        chooser = PlacementChooser(Random(1), "a")
+        for failing, usual_share in ((1, 0.0), (2, 0.0), (4, 0.25), (5, 0.25)):
+            servers = [make_server(str(n), report=(1, 0, 6)) for n in range(5)]
+            for server in servers[:failing]:
+                server.record_failure(0.0)
+            service = make_service(*servers)
+            usual = service.estimate_usual_failure_share(0.0)
+            cost_s = chooser.estimate_cost_s(service, servers[0], 0.2, 0.0)
+            with self.subTest(failing):
+                self.assertAlmostEqual(usual, usual_share)
+                self.assertEqual(cost_s > 0.2, usual_share == 0.0)
+
+    def test_a_server_that_fails_more_than_the_others_is_passed_over(self):
+        servers = [make_server(str(n), report=(1, 0, 6)) for n in range(5)]
+        for server in servers:
+            server.record_failure(0.0)
+        for _ in range(3):
+            servers[0].record_failure(0.0)
+        chooser = PlacementChooser(Random(1), "a")
+        service = make_service(*servers)
+        chosen = [chooser.choose_server(service, servers, 0.2, 0.0) for _ in range(50)]
+        self.assertNotIn(servers[0], chosen)
+
     def test_own_requests_where_no_load_is_told(self):
         busy = make_server()
         busy.record_send()
--- a/tests/cardamomtack/placing/test_refusing.py
+++ b/tests/cardamomtack/placing/test_refusing.py
@@ -4,6 +4,7 @@
 
 import unittest
 from dataclasses import replace
+from math import inf
 from random import Random
 
 from cardamomtack.placing.admission import (
@@ -12,6 +13,7 @@
     choose_prompt_retry_after_s,
     choose_retry_after_s,
 )
+from cardamomtack.placing.server import ServiceView
 from cardamomtack_standins.model.load import plan_short_work
 from cardamomtack_standins.model.play import FleetShape, LoadPlay
 from cardamomtack_standins.model.policies import AskingPolicy
@@ -21,6 +23,7 @@
 REJECTED_SHARE = 0.55
 SEEDS = (1, 2, 3)
 SHAPE = FleetShape(16, 27, 3)
+PROBES_PER_S = 60.0 * SHAPE.servers / SHAPE.vms
 
 
 class RetryAfterTest(unittest.TestCase):
@@ -78,14 +81,38 @@
         return super().place(replace(call, is_known_first=False), now_s)
 
 
-def play(plan, shape, policy):
+class UnforgivingService(ServiceView):
+    """A service in which failures count however usual they are."""
+
+    __slots__ = ()
+
+    def estimate_usual_failure_share(self, now_s):
+        return 0.0
+
+
+class UnforgivingPolicy(AskingPolicy):
+    """The product's policy, but failures count however usual they are."""
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        members = self.service.members
+        self.service = UnforgivingService("model")
+        for server in members:
+            self.service.add_member(server)
+
+
+def play(plan, shape, policy, checks_per_s=inf):
     """Return what callers get from policies that learn how long they have waited."""
     return [
         LoadPlay(
             plan,
             shape,
             lambda servers, random, zone: policy(
-                servers, random, zone, learns_waits=True
+                servers,
+                random,
+                zone,
+                checks_per_s=checks_per_s,
+                learns_waits=True,
             ),
             seed,
         ).run()
@@ -127,13 +154,26 @@
         taken_share = 1.0 - REJECTED_SHARE**3
         for kind in ("lookup", "decision"):
             own, slow = (
-                sum(one.kinds[kind].in_time_share for one in play(plan, shape, policy))
+                sum(
+                    one.kinds[kind].in_time_share
+                    for one in play(plan, shape, policy, PROBES_PER_S)
+                )
                 / len(SEEDS)
                 for policy in (AskingPolicy, SlowReturnPolicy)
             )
             self.assertGreater(own, 0.9 * taken_share, kind)
             self.assertGreater(own, slow, kind)
 
+    def test_budget_of_probes_lasts_while_all_servers_reject_alike(self):
+        rejecting = ServerTraits(6, 12, rejected_share=REJECTED_SHARE)
+        shape = replace(SHAPE, traits=rejecting)
+        plan = plan_short_work(LENGTH_S)
+        own, other = (
+            average_credit(play(plan, shape, policy, PROBES_PER_S))
+            for policy in (AskingPolicy, UnforgivingPolicy)
+        )
+        self.assertGreater(own, other)
+
     def test_a_calm_day_is_as_good_as_with_known_waits(self):
         plan = plan_short_work(LENGTH_S)
         learnt = average_credit(play(plan, SHAPE, AskingPolicy))
