Count out requests that a server has rejected

Cause: a request that a server rejected without a load report stayed counted as sent since its last report, so a server with 3 of 6 running looked full after one rejection, until its next report. Such a caller was sent back until after its objective, as if capacity had been missing.

--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -180,6 +180,10 @@
         self.in_flight += 1
         self.sent_since_report += 1
 
+    def record_rejection(self) -> None:
+        """Count out a request that the server has not run."""
+        self.sent_since_report = max(0, self.sent_since_report - 1)
+
     def record_end(self) -> None:
         """Count a request that has ended."""
         self.in_flight -= 1
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -292,6 +292,8 @@
         value = answer.find_header(call.names.load)
         report = call.names.parse_load(value) if value is not None else None
         is_not_run = call.is_not_run(answer.status, answer.headers)
+        if is_not_run:
+            server.record_rejection()
         if report is not None and is_not_run:
             server.record_report(report, now_s)
         elif report is not None:
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
@@ -309,6 +309,7 @@
         view.record_end()
         conditions = self._conditions.pop(call.number)
         if duration_s is None:
+            view.record_rejection()
             if not is_near_capacity(view):
                 view.record_soft_failure(now_s)
             return []
--- a/tests/cardamomtack/placing/test_decisions.py
+++ b/tests/cardamomtack/placing/test_decisions.py
@@ -68,6 +68,14 @@
             busy.record_send()
         self.check(make_server(report=(5, 0, 6)), busy)
 
+    def test_a_rejected_request_takes_no_slot(self):
+        server = make_server(report=(3, 0, 6))
+        server.record_send()
+        self.assertTrue(is_near_capacity(server))
+        server.record_rejection()
+        server.record_end()
+        self.assertFalse(is_near_capacity(server))
+
     def test_own_zone(self):
         self.check(
             make_server(report=(1, 0, 6)), make_server(zone="b", report=(1, 0, 6))
