--- a/packages/cardamomtack/src/cardamomtack/placing/admission.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/admission.py
@@ -88,7 +88,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ServerCapacity:
-    """What a server has room for.
+    """What a server has capacity for.
 
     Attributes
     ----------
@@ -108,7 +108,7 @@
     Parameters
     ----------
     cost_s : float
-        Until the server is expected to answer, with a penalty for doubt, in seconds.
+        Until the server is expected to answer, with a penalty for penalty, in seconds.
     objective_left_s : float
         Until the latency objective is missed, in seconds.
     """
@@ -116,7 +116,7 @@
 
 
 def is_worth_placing(
-    times: PlacementTimes, room: ServerCapacity, is_overloaded: bool
+    times: PlacementTimes, capacity: ServerCapacity, is_overloaded: bool
 ) -> bool:
     """Return whether a request is sent to a server.
 
@@ -125,15 +125,15 @@
     Parameters
     ----------
     is_overloaded : bool
-        Whether requests that could be in time have found no room lately.
+        Whether requests that could be in time have found no capacity lately.
     """
-    if times.estimate_s > times.deadline_left_s or not room.has_capacity:
+    if times.estimate_s > times.deadline_left_s or not capacity.has_capacity:
         return False
     if times.is_in_time:
         return True
     if times.can_wait:
         return False
-    return not is_overloaded or room.busy_share <= LATE_SLOT_SHARE_MAX
+    return not is_overloaded or capacity.busy_share <= LATE_SLOT_SHARE_MAX
 
 
 def choose_retry_after_s(times: CallerTimes, random: Random) -> float:
--- a/packages/cardamomtack/src/cardamomtack/placing/budget.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/budget.py
@@ -1,10 +1,10 @@
-"""The budget of sends beyond the first, which the VMs of the fleet share unasked.
+"""The budget of sends beyond the first, which the VMs of a fleet share.
 
-The load that this answers: servers that fail or refuse while many callers press.
-Each VM spends a share of its own requests and a fixed small slack, so the sum of the
-fleet stays within the bound, whatever part of the requests a VM gets. When all servers
-refuse a share of the requests, the budget does not reach for all; then the last of it
-goes to the more urgent kinds.
+This module handles servers that fail or refuse requests under overload. Each VM spends
+a share of its own requests and a fixed small slack, so the sum of the fleet stays
+within the bound, whatever part of the requests a VM gets. When all servers refuse a
+share of the requests, the budget does not reach for all; then the last of it goes to
+the more urgent kinds.
 """
 
 from __future__ import annotations
--- a/packages/cardamomtack/src/cardamomtack/placing/caller_wait.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/caller_wait.py
@@ -1,24 +1,24 @@
 """How long callers have waited before they send a request again.
 
-The load that this answers: a crowd that comes back after refusals or an outage. Such a
-request looks new, but its objective has been running since its first send. Callers of
-a route start with similar deadlines, which count down over their sends, so what is
-missing of a usual deadline is the time that has gone. How much the deadlines of first
-sends differ is learnt from requests that are known to be first sends, and while nobody
-is sent back; only what is missing beyond counts.
+This module handles callers that come back after refusals or an outage. Such a request
+looks new, but its objective has been running since its first send. Callers of a route
+start with similar deadlines, which count down over their sends, so what is missing of a
+usual deadline is the time that has gone. How much the deadlines of first sends differ
+is learnt from requests that are known to be first sends, and while nobody is sent back;
+only what is missing beyond counts.
 """
 
 from __future__ import annotations
 
 from collections import deque
 
-CALM_MIN = 16
+FIRST_SENDS_MIN = 16
 """Deadlines that must be known before their spread is taken from them."""
 
-KEPT = 64
-SPREAD_DEFAULT = 0.3
-SPREAD_QUANTILE = 0.95
-SPREAD_SHARE_MIN = 0.05
+DEADLINES_KEPT = 64
+MISSING_SHARE_DEFAULT = 0.3
+MISSING_SHARE_QUANTILE = 0.95
+MISSING_SHARE_MIN = 0.05
 """Part of a deadline that may be missing for other reasons, such as the way here."""
 
 
@@ -36,8 +36,8 @@
     __slots__ = ("latest_s", "missing")
 
     def __init__(self) -> None:
-        self.latest_s: deque[float] = deque(maxlen=KEPT)
-        self.missing: deque[float] = deque(maxlen=KEPT)
+        self.latest_s: deque[float] = deque(maxlen=DEADLINES_KEPT)
+        self.missing: deque[float] = deque(maxlen=DEADLINES_KEPT)
 
     def add(self, deadline_s: float) -> float:
         """Add a deadline and return what is missing of the longest, as a share."""
@@ -53,11 +53,11 @@
         float, float
             The median and the greatest share.
         """
-        if len(self.missing) < CALM_MIN:
-            return SPREAD_DEFAULT / 2.0, SPREAD_DEFAULT
+        if len(self.missing) < FIRST_SENDS_MIN:
+            return MISSING_SHARE_DEFAULT / 2.0, MISSING_SHARE_DEFAULT
         ordered = sorted(self.missing)
-        greatest = ordered[int(SPREAD_QUANTILE * (len(ordered) - 1))]
-        return ordered[len(ordered) // 2], max(SPREAD_SHARE_MIN, greatest)
+        greatest = ordered[int(MISSING_SHARE_QUANTILE * (len(ordered) - 1))]
+        return ordered[len(ordered) // 2], max(MISSING_SHARE_MIN, greatest)
 
 
 class CallerWaitEstimator:
--- a/packages/cardamomtack/src/cardamomtack/placing/chooser.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/chooser.py
@@ -1,9 +1,9 @@
-"""Choice of the backend servers to ask, and of the one that gets the request.
+"""Choice of the backend servers to probe, and of the one that gets the request.
 
-The load that this answers: servers on shared machines whose speed changes fourfold
-several times a second, so that a report which is 100 ms old misleads. Servers are
-asked one after the other just before each send, those of the own availability zone
-first, until one is expected to answer well within the latency objective.
+This module handles servers on shared machines whose speed changes fourfold several
+times a second, so that a report which is 100 ms old misleads. Servers are probed one
+after the other just before each send, those of the own availability zone first, until
+one is expected to answer well within the latency objective.
 """
 
 from __future__ import annotations
@@ -64,9 +64,9 @@
         conditions: SendConditions,
         slowdown_estimates: SlowdownEstimates,
     ) -> None:
-        """Take the duration of an answer.
+        """Learn from the duration of an answer.
 
-        The work itself is learnt under usual conditions, and the traits of the servers
+        The work itself is learnt under usual conditions, and how servers slow down
         under the others.
         """
         known = self._estimates.get(route)
@@ -104,7 +104,7 @@
         now_s: float,
         count: int = PROBED_MAX,
     ) -> list[ServerView]:
-        """Return a few servers to ask, of the own zone or of the others.
+        """Return a few servers to probe, of the own availability zone or of the others.
 
         Those that have failed lately come last.
 
@@ -133,17 +133,17 @@
         return sample
 
     def sample_ejected(self, service: ServiceView, tried: set[str]) -> list[ServerView]:
-        """Return a few servers that rest after failures, when no other is left."""
-        resting = [
+        """Return a few ejected servers, when no other is left."""
+        ejected = [
             server
             for server in service.members
             if server.entry.server_id not in tried
             and not server.entry.is_draining
             and not server.is_removed
         ]
-        if len(resting) <= PROBED_MAX:
-            return resting
-        return self._random.sample(resting, PROBED_MAX)
+        if len(ejected) <= PROBED_MAX:
+            return ejected
+        return self._random.sample(ejected, PROBED_MAX)
 
     def estimate_s(self, server: ServerView, work_s: float, now_s: float) -> float:
         """Return the seconds until the server's answer."""
@@ -192,14 +192,14 @@
 def choose_sample_size(
     remaining_budget_share: float, is_own_zone: bool, is_overloaded: bool, is_late: bool
 ) -> int:
-    """Return how many servers of the own zone, or of the others, are asked at most.
+    """Return how many servers of the own zone, or of the others, are probed at most.
 
     Parameters
     ----------
     remaining_budget_share : float
-        Part of the budget of health checks that is left, from 0 to 1.
+        Part of the budget of probes that is left, from 0 to 1.
     is_overloaded : bool
-        Whether requests that could be in time have found no room lately.
+        Whether requests that could be in time have found no capacity lately.
     is_late : bool
         Whether the latency objective has passed.
     """
@@ -212,12 +212,12 @@
 
 
 def choose_poll_size(is_own_zone: bool) -> int:
-    """Return how many servers are asked at a time for the calls that wait."""
+    """Return how many servers are probed at a time for the calls that wait."""
     return POLLED_MAX if is_own_zone else POLLED_OTHER_ZONES_MAX
 
 
 def assume_loads(service: ServiceView, servers: list[ServerView], now_s: float) -> None:
-    """Take servers that have not reported lately to be as busy as is usual."""
+    """Assume that servers which have not reported lately are as busy as is usual."""
     for server in servers:
         report = service.expect_report(server.entry.slots)
         if report is not None:
--- a/packages/cardamomtack/src/cardamomtack/placing/const.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/const.py
@@ -5,10 +5,10 @@
 PROBED_MAX: Final = 4
 PROBED_MIN: Final = 2
 PROBE_BUDGET_SHARE_MIN: Final = 0.5
-"""Room in the budget of health checks below which fewer servers are asked."""
+"""Share of the budget of probes below which fewer servers are probed."""
 
 PROBED_LAST_FAILURE_SHARE: Final = 0.1
-"""Share of failures above which a server is asked after the others."""
+"""Share of failures above which a server is probed after the others."""
 
 EJECTION_FAILURES: Final = 3
 EJECTION_S_MAX: Final = 4.0
@@ -43,7 +43,7 @@
 POLLED_OTHER_ZONES_MAX: Final = 1
 QUEUE_POLL_INTERVAL_S: Final = 0.025
 OVERLOAD_OTHER_ZONES_MAX: Final = 1
-"""Servers of other zones that are asked while room is short everywhere."""
+"""Servers of other availability zones that are probed in overload."""
 
 OVERLOAD_WINDOW_S: Final = 1.0
 REPORT_AGE_S_MAX: Final = 0.1
@@ -54,8 +54,8 @@
 """Part of the retry budget that is spent, for VMs that are not known yet."""
 
 PROBE_TIMEOUT_EJECTION_S: Final = 0.25
-TRAIT_GAIN: Final = 0.05
-TRIAL_EVERY: Final = 50
+SLOWDOWN_GAIN: Final = 0.05
+SLOW_TRIAL_EVERY: Final = 50
 USUAL_GAIN: Final = 0.1
 FREED_SLOTS_FACTOR: Final = 2.0
 """How many times as many slots as this VM frees may come free for its calls."""
--- a/packages/cardamomtack/src/cardamomtack/placing/hedging.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/hedging.py
@@ -1,10 +1,10 @@
 """When a late answer makes a second send pay, and counts against its server.
 
-The load that this answers: servers that are well by their health checks but never
-answer some of the requests, or answer them many times later than usual, and answers
-that are lost on the way. A request that may run more than once goes to a second server
-while its caller still waits. A server that lets requests wait for far longer than its
-neighbours' noise explains gets fewer of the next ones, long before a deadline passes.
+This module handles servers that are healthy by their probes but never answer some of
+the requests, or answer them many times later than usual, and answers that are lost on
+the way. A request that may run more than once goes to a second server while its caller
+still waits. A server that lets requests wait for far longer than its neighbours' noise
+explains gets fewer of the next ones, long before a deadline passes.
 """
 
 from __future__ import annotations
--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -80,8 +80,8 @@
         "_failed_in_row",
         "_failure_at_s",
         "_failure_share",
+        "_probe_timeouts",
         "_reported_at_s",
-        "_silences",
         "_warm_at_s",
         "ejected_until_s",
         "entry",
@@ -102,7 +102,7 @@
         self._failure_at_s = now_s
         self._failure_share = 0.0
         self._reported_at_s = -inf
-        self._silences = 0
+        self._probe_timeouts = 0
         self._warm_at_s = now_s + entry.warm_up_left_s
         self.ejected_until_s = 0.0
         self.entry = entry
@@ -162,7 +162,7 @@
         self.report = report
         self.sent_since_report = 0
         self._reported_at_s = now_s
-        self._silences = 0
+        self._probe_timeouts = 0
 
     def record_answer_report(self, report: LoadReport, now_s: float) -> None:
         """Take the load report of the answer to a request that has run."""
@@ -214,24 +214,26 @@
             self._eject(now_s)
 
     def record_soft_failure(self, now_s: float) -> None:
-        """Note that a request waits for far too long, or was refused in spite of room.
+        """Note that a request takes far too long, or was rejected in spite of capacity.
 
-        The server is only passed over beside better ones: when all are pressed, such
-        things happen at many, and the servers are needed.
+        The server is only passed over beside better ones: in overload such things
+        happen at many, and the servers are needed.
         """
         self._move_failure_share(1.0, now_s)
 
     def record_probe_timeout(self, now_s: float) -> None:
-        """Note that a question got no answer in time; the server rests a little.
+        """Note that a probe got no answer in time; the server is ejected for a moment.
 
-        The rest grows while it stays silent, and ends with its next report.
+        The ejection grows with each timeout and ends with the next report.
         """
-        rest_s = min(EJECTION_S_MAX, PROBE_TIMEOUT_EJECTION_S * 2.0**self._silences)
-        self._silences += 1
-        self.ejected_until_s = max(self.ejected_until_s, now_s + rest_s)
+        pause_s = min(
+            EJECTION_S_MAX, PROBE_TIMEOUT_EJECTION_S * 2.0**self._probe_timeouts
+        )
+        self._probe_timeouts += 1
+        self.ejected_until_s = max(self.ejected_until_s, now_s + pause_s)
 
     def record_unreachable(self, now_s: float) -> None:
-        """Note that no connection could be opened; the server rests at once."""
+        """Note that no connection could be opened; the server is ejected at once."""
         self._failed_in_row = max(self._failed_in_row + 1, EJECTION_FAILURES)
         self._eject(now_s)
 
@@ -241,7 +243,7 @@
         return self._failure_share * float(0.5 ** (age_s / FAILURE_HALF_LIFE_S))
 
     def _eject(self, now_s: float) -> None:
-        """Let the server rest, longer with each failure in the row."""
+        """Eject the server, for longer with each failure in the row."""
         beyond = self._failed_in_row - EJECTION_FAILURES
         pause_s = min(EJECTION_S_MAX, EJECTION_S_MIN * 2.0**beyond)
         self.ejected_until_s = now_s + pause_s
@@ -350,7 +352,7 @@
         self._slowness += USUAL_GAIN * (report.slowness - self._slowness)
 
     def expect_report(self, slots: int) -> LoadReport | None:
-        """Return the report to expect of a server that has not been asked.
+        """Return the report to expect of a server that has not been probed.
 
         Parameters
         ----------
@@ -371,17 +373,17 @@
 def is_near_capacity(server: ServerView) -> bool:
     """Return whether a request would wait for a slot, or be slow in the last ones.
 
-    An idle server has room whatever its size.
+    An idle server has capacity whatever its size.
     """
     report = server.report
     if report is None:
         return False
-    room = max(1.0, server.slowdown_estimates.usable_share * report.slots)
-    return count_ahead(server, report) + 1 > room
+    usable = max(1.0, server.slowdown_estimates.usable_share * report.slots)
+    return count_ahead(server, report) + 1 > usable
 
 
 def is_slow_with_capacity(server: ServerView) -> bool:
-    """Return whether a server has room and works more slowly than usual."""
+    """Return whether a server has capacity and works more slowly than usual."""
     report = server.report
     if report is None or is_near_capacity(server):
         return False
--- a/packages/cardamomtack/src/cardamomtack/placing/slowdown.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/slowdown.py
@@ -1,8 +1,8 @@
 """What is learnt of the servers of a service from the time that their answers take.
 
-The load that this answers: servers on shared machines, of which nobody knows whether a
-request keeps the speed with which it began, and whether a server that is nearly full
-slows down. Both decide which of two servers answers first, so both are measured.
+This module handles servers on shared machines, of which nobody knows whether a request
+keeps the speed with which it began, and whether a server that is nearly full slows
+down. Both decide which of two servers answers first, so both are measured.
 """
 
 from __future__ import annotations
@@ -14,11 +14,11 @@
     NEAR_CAPACITY_SLOWDOWN_HARMLESS,
     NEAR_CAPACITY_SLOWDOWN_INITIAL,
     NEAR_CAPACITY_SLOWDOWN_MAX,
-    TRAIT_GAIN,
-    TRIAL_EVERY,
+    SLOW_TRIAL_EVERY,
+    SLOWDOWN_GAIN,
 )
 
-CARRY_MAX = 1.5
+PERSISTENCE_MAX = 1.5
 SLOWNESS_CLEAR = 1.5
 """From which slowness on an answer tells how long a speed lasts."""
 
@@ -104,7 +104,7 @@
         Without a trial now and then nobody would learn that its speed passes.
         """
         self._passed_over += 1
-        return self._passed_over % TRIAL_EVERY == 0
+        return self._passed_over % SLOW_TRIAL_EVERY == 0
 
     def record_answer(self, conditions: SendConditions, ratio: float) -> None:
         """Learn from an answer.
@@ -119,12 +119,14 @@
         is_slow = conditions.slowness >= SLOWNESS_CLEAR
         if is_slow and not conditions.is_near_capacity:
             excess = conditions.slowness - SLOWNESS_USUAL
-            carry = min(CARRY_MAX, max(0.0, (ratio - SLOWNESS_USUAL) / excess))
-            self.slowness_persistence += TRAIT_GAIN * (
-                carry - self.slowness_persistence
+            persistence = min(
+                PERSISTENCE_MAX, max(0.0, (ratio - SLOWNESS_USUAL) / excess)
+            )
+            self.slowness_persistence += SLOWDOWN_GAIN * (
+                persistence - self.slowness_persistence
             )
         elif conditions.is_near_capacity and conditions.slowness <= SLOWNESS_USUAL_MAX:
             slowdown = min(NEAR_CAPACITY_SLOWDOWN_MAX, max(1.0, ratio))
-            self.near_capacity_slowdown += TRAIT_GAIN * (
+            self.near_capacity_slowdown += SLOWDOWN_GAIN * (
                 slowdown - self.near_capacity_slowdown
             )
--- a/packages/cardamomtack/src/cardamomtack/placing/wait_queue.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/wait_queue.py
@@ -1,10 +1,10 @@
-"""Waiting for room: which calls wait, for how long, and who goes first.
+"""Waiting for capacity: which calls wait, for how long, and which goes first.
 
-The load that this answers: more requests than the servers have room for, for seconds.
-A server that is nearly full slows down all that it runs, so a request that is sent
-there costs the others more than it gains. It waits at its VM instead, as long as it can
-still be answered in time. Every slot that a request of this VM frees goes to one that
-waits, so each VM keeps as many slots as it uses, and no two VMs run for the same one.
+This module handles seconds with more requests than the servers have capacity for. A
+server that is nearly full slows down all that it runs, so a request that is sent there
+costs the others more than it gains. It waits at its VM instead, as long as it can still
+be answered in time. Every slot that a request of this VM frees goes to one that waits,
+so each VM keeps as many slots as it uses, and no two VMs run for the same one.
 
 More urgent kinds go first, but one slot in a few goes to the call that has waited
 longest, so that no kind starves. A call that would have to wait for too long, by the
@@ -29,7 +29,7 @@
 
 
 class QueuedCall:
-    """A call that waits for room.
+    """A call that waits for capacity.
 
     Parameters
     ----------
@@ -55,15 +55,15 @@
 
 
 class WaitQueue:
-    """The calls of one VM that wait for room at the servers of one service."""
+    """The calls of one VM that wait for capacity at the servers of one service."""
 
-    __slots__ = ("_calls", "_ended_at_s", "_given", "_pressed_at_s")
+    __slots__ = ("_assigned", "_calls", "_ended_at_s", "_overloaded_at_s")
 
     def __init__(self) -> None:
         self._calls: list[QueuedCall] = []
         self._ended_at_s: deque[float] = deque()
-        self._given = 0
-        self._pressed_at_s = -inf
+        self._assigned = 0
+        self._overloaded_at_s = -inf
 
     def __len__(self) -> int:
         """Return how many calls wait."""
@@ -74,16 +74,16 @@
         return list(self._calls)
 
     def is_overloaded(self, now_s: float) -> bool:
-        """Return whether a call that could be in time found no room lately."""
-        return bool(self._calls) or now_s - self._pressed_at_s <= OVERLOAD_WINDOW_S
+        """Return whether a call that could be in time found no capacity lately."""
+        return bool(self._calls) or now_s - self._overloaded_at_s <= OVERLOAD_WINDOW_S
 
     def is_longest_waiting(self, call: QueuedCall) -> bool:
         """Return whether a call has waited longest."""
         return self._calls[0] is call
 
     def enqueue(self, call: QueuedCall, now_s: float) -> bool:
-        """Let a call wait, and return whether it is likely to get room in time."""
-        self._pressed_at_s = now_s
+        """Let a call wait, and return whether it is likely to get capacity in time."""
+        self._overloaded_at_s = now_s
         left_s = call.latest_start_at_s - now_s
         if left_s <= 0:
             return False
@@ -94,7 +94,7 @@
         return True
 
     def remove(self, call: QueuedCall) -> None:
-        """Take out a call, whether it got room or not."""
+        """Take out a call, whether it got capacity or not."""
         if call in self._calls:
             self._calls.remove(call)
 
@@ -106,19 +106,19 @@
     def choose_call(
         self, is_fit: Callable[[QueuedCall], bool], now_s: float
     ) -> QueuedCall | None:
-        """Return the call that gets room which has come free, or None.
+        """Return the call that gets capacity which has come free, or None.
 
         Parameters
         ----------
         is_fit : callable
-            Returns whether the room serves a call in time.
+            Returns whether the capacity serves a call in time.
         """
         calls = [one for one in self._calls if one.latest_start_at_s >= now_s]
-        is_fair_turn = (self._given + 1) % LONGEST_WAITING_EVERY == 0
+        is_fair_turn = (self._assigned + 1) % LONGEST_WAITING_EVERY == 0
         while calls:
             first = calls[0] if is_fair_turn else min(calls, key=_rank_call)
             if is_fit(first):
-                self._given += 1
+                self._assigned += 1
                 return first
             calls.remove(first)
         return None
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -34,7 +34,7 @@
         What all sends share.
     call : ForwardedCall
         The request.
-    asked : ProbedServer
+    probed : ProbedServer
         Where it goes.
     work_s : float
         Work of the request on an idle server, in seconds.
@@ -70,27 +70,27 @@
         self,
         sender: RequestSender,
         call: ForwardedCall,
-        asked: ProbedServer,
+        probed: ProbedServer,
         work_s: float,
     ) -> None:
         self._has_begun = False
         self._sender = sender
         self.call = call
-        self.conditions = build_send_conditions(asked.server)
-        self.connection = asked.connection
+        self.conditions = build_send_conditions(probed.server)
+        self.connection = probed.connection
         self.estimate_s = call.estimate_s or work_s
         self.is_streaming = False
         self.started_s = 0.0
-        self.server = asked.server
+        self.server = probed.server
         load = self.server.report.describe() if self.server.report is not None else ""
         self.record = SendRecord(self.server.vm_id, SendOutcome.BROKEN.value, 0, load)
 
-    async def async_exchange(self, patience_s: float) -> SendResult | None:
+    async def async_exchange(self, timeout_s: float) -> SendResult | None:
         """Send the request and return what became of it, or None when it takes longer.
 
         Parameters
         ----------
-        patience_s : float
+        timeout_s : float
             How long to wait for the answer, in seconds.
         """
         self.started_s = self._sender.read_now_s()
@@ -107,7 +107,7 @@
             )
         except BrokenAnswerError as error:
             return await self._async_break(error)
-        return await self.async_receive(patience_s)
+        return await self.async_receive(timeout_s)
 
     async def async_send_body(self) -> None:
         """Send the parts of a long body after the first, as the caller sends them."""
@@ -126,7 +126,7 @@
         # The time that the caller took says nothing of the server.
         self.started_s = self._sender.read_now_s()
 
-    async def async_receive(self, patience_s: float) -> SendResult | None:
+    async def async_receive(self, timeout_s: float) -> SendResult | None:
         """Return what became of the request, or None when it takes longer.
 
         The deadline of the caller and the end of this VM end the wait for good.
@@ -134,17 +134,17 @@
         left_s = self.call.deadline_s - self._sender.read_now_s()
         try:
             answer = await self.connection.async_receive(
-                ANSWER_BUFFER_BYTES_MAX, min(left_s, patience_s)
+                ANSWER_BUFFER_BYTES_MAX, min(left_s, timeout_s)
             )
         except BrokenAnswerError as error:
             return await self._async_break(error)
         if answer is not None:
             result = self._sender.judge(self, answer)
-        elif patience_s < left_s and not self.connection.is_receive_cancelled:
+        elif timeout_s < left_s and not self.connection.is_receive_cancelled:
             return None
         else:
             result = SendResult(SendOutcome.OVERDUE)
-        return self._note_result(result)
+        return self._record_result(result)
 
     async def async_finish(self) -> SendResult:
         """Return what became of the request in the end."""
@@ -165,9 +165,9 @@
 
     async def _async_break(self, error: BrokenAnswerError) -> SendResult:
         """Return the result of a send whose connection broke."""
-        return self._note_result(await self._sender.async_break(self, error))
+        return self._record_result(await self._sender.async_break(self, error))
 
-    def _note_result(self, result: SendResult) -> SendResult:
+    def _record_result(self, result: SendResult) -> SendResult:
         """Note a result for the log."""
         self.record.outcome = result.outcome.value
         self.is_streaming = result.rest is not None
@@ -181,7 +181,7 @@
     ----------
     pool : ConnectionPool
         Connections to servers.
-    asker : ServerProber
+    prober : ServerProber
         Finds out whether a server has gone down.
     crash_tracker : CrashTracker
         Suspects of crashes.
@@ -195,12 +195,12 @@
     """
 
     __slots__ = (
-        "_asker",
         "_clock",
         "_connections",
         "_crash_tracker",
         "_digests",
         "_pool",
+        "_prober",
         "_release_connection",
         "_report_crash",
     )
@@ -208,13 +208,13 @@
     def __init__(
         self,
         pool: ConnectionPool,
-        asker: ServerProber,
+        prober: ServerProber,
         crash_tracker: CrashTracker,
         release_connection: Callable[[ServerView, ServerConnection], None],
         report_crash: Callable[[str, list[bytes]], None],
         clock: Clock,
     ) -> None:
-        self._asker = asker
+        self._prober = prober
         self._clock = clock
         self._connections: set[ServerConnection] = set()
         self._report_crash = report_crash
@@ -223,9 +223,9 @@
         self._pool = pool
         self._release_connection = release_connection
 
-    def release_unused(self, asked: ProbedServer) -> None:
+    def release_unused(self, probed: ProbedServer) -> None:
         """Give back the connection of a server that gets nothing after all."""
-        self._pool.release(asked.server, asked.connection)
+        self._pool.release(probed.server, probed.connection)
 
     def expire_all(self) -> None:
         """Have every call in flight end as at its deadline, because this VM ends."""
@@ -233,10 +233,10 @@
             connection.cancel_receive()
 
     def open_send(
-        self, call: ForwardedCall, asked: ProbedServer, work_s: float
+        self, call: ForwardedCall, probed: ProbedServer, work_s: float
     ) -> ServerSend:
         """Return a send of a request that has not left yet."""
-        return ServerSend(self, call, asked, work_s)
+        return ServerSend(self, call, probed, work_s)
 
     def begin(self, send: ServerSend) -> None:
         """Note that a send begins."""
@@ -319,10 +319,10 @@
     async def _async_check_crash(self, server: ServerView) -> None:
         """Suspect what a server was running when it has gone down."""
         suspects = list(self._digests.get(server.vm_id, ()))
-        if await self._asker.async_is_down(server):
-            self._note_crash(server, suspects)
+        if await self._prober.async_is_down(server):
+            self._record_crash(server, suspects)
 
-    def _note_crash(self, server: ServerView, suspects: list[bytes]) -> None:
+    def _record_crash(self, server: ServerView, suspects: list[bytes]) -> None:
         """Note a crash of a server."""
         server.record_unreachable(self._clock.read_monotonic_s())
         self._pool.close_connections(server.vm_id)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/body.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/body.py
@@ -10,7 +10,7 @@
 
 
 class ForwardedBody:
-    """The parts of a body, which are kept for another server while there is room.
+    """The parts of a body, which are kept for another server while there is memory.
 
     Parameters
     ----------
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
@@ -43,10 +43,10 @@
         The servers that it was sent to, and what became of it there.
     estimate_s : float or None
         When the best server was last expected to answer, in seconds.
-    asked : int
-        Servers that were asked for their load.
+    probes : int
+        Servers that were probed for their load.
     waited_s : float
-        For how long it waited for room, in seconds.
+        For how long it waited for capacity, in seconds.
     """
 
     request: HttpRequest
@@ -63,7 +63,7 @@
     tried: set[str] = field(default_factory=set)
     sends: list[SendRecord] = field(default_factory=list)
     estimate_s: float | None = None
-    asked: int = 0
+    probes: int = 0
     waited_s: float = 0.0
 
     def encode(self, server_id: str, now_s: float) -> bytes:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/const.py
@@ -6,7 +6,7 @@
 LOAD_PROBE_TIMEOUT_S: Final = 0.03
 LOAD_PROBE_TIMEOUT_S_MAX: Final = 0.25
 LOAD_PROBE_TURN_S: Final = 0.006
-"""After how long without an answer the next server is asked beside the last one."""
+"""After how long without an answer the next server is probed beside the last one."""
 
 BALANCER_NOTICE_S: Final = 2.5
 CALLER_CONNECTIONS_MAX: Final = 3000
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -108,7 +108,6 @@
     """
 
     __slots__ = (
-        "_asker",
         "_callers",
         "_clock",
         "_crash_tracker",
@@ -118,6 +117,7 @@
         "_members",
         "_membership",
         "_pool",
+        "_prober",
         "_readers",
         "_readiness",
         "_registry",
@@ -188,7 +188,7 @@
         )
         self._readers = [
             TopicReader(
-                replica, source, self._is_reader, self._note_answer, clock, random
+                replica, source, self._is_reader, self._record_answer, clock, random
             )
             for replica, source in (
                 (configuration, sources.configuration),
@@ -202,11 +202,11 @@
         clock = self._clock
         self.memory = BodyMemory(settings.body_memory_bytes)
         chooser = PlacementChooser(random, settings.availability_zone)
-        self._asker = ServerProber(self._pool, names, clock)
-        placer = Placer(self._registry, chooser, self._asker, self._pool, clock)
+        self._prober = ServerProber(self._pool, names, clock)
+        placer = Placer(self._registry, chooser, self._prober, self._pool, clock)
         self._sender = RequestSender(
             self._pool,
-            self._asker,
+            self._prober,
             self._crash_tracker,
             placer.release_connection,
             self._report_crash,
@@ -341,7 +341,7 @@
             self._limits.head_bytes_max = limits.header_bytes_max
             self._limits.head_s = limits.header_timeout_s + HEAD_MARGIN_S
             self._limits.idle_s = limits.idle_timeout_s + IDLE_MARGIN_S
-        self._asker.health_paths = {
+        self._prober.health_paths = {
             name: service.health_path.encode()
             for name, service in configuration.services.items()
         }
@@ -375,7 +375,7 @@
         """Share the budgets of the fleet among the VMs that are known."""
         vms = self._members.count
         self._forwarder.vms = vms
-        self._asker.pacer.apply_bounds(
+        self._prober.limiter.apply_bounds(
             self._settings.checks_per_server_per_s, len(self._registry.servers), vms
         )
 
@@ -384,7 +384,7 @@
         notice_id = f"{SystemRandom().getrandbits(INCARNATION_BITS):016x}"
         self._relay.broadcast_crash(CrashNotice(notice_id, server_id, digests))
 
-    def _note_answer(self, is_answered: bool) -> None:
+    def _record_answer(self, is_answered: bool) -> None:
         """Let other VMs read for this one while the store does not answer it."""
         own_id = self._settings.vm_id
         if is_answered:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -263,7 +263,7 @@
             deadline_left_ms=int((call.deadline_s - now_s) * MS_PER_S),
             estimate_ms=-1 if estimate_s is None else int(estimate_s * MS_PER_S),
             objective_left_ms=int((call.objective_s - call.arrived_s) * MS_PER_S),
-            asked=call.asked,
+            asked=call.probes,
             waited_ms=int(call.waited_s * MS_PER_S),
             usable=0
             if is_first_send_success
@@ -285,18 +285,18 @@
         result: SendResult | None = None
         had_capacity = False
         while True:
-            asked = await self._placer.async_place(call)
-            if asked is None:
+            probed = await self._placer.async_place(call)
+            if probed is None:
                 return self._finish(call, result, "no server can answer in time")
             if result is not None and not budget.spend_send(
                 self._clock.read_monotonic_s(),
                 choose_budget_share(call.route.priority),
             ):
-                self._sender.release_unused(asked)
+                self._sender.release_unused(probed)
                 reason = "retry budget is spent"
                 return self._finish(call, result, reason, had_capacity)
-            result = _keep_worse(result, await self._hedged.async_send(call, asked))
-            had_capacity = not is_near_capacity(asked.server)
+            result = _keep_worse(result, await self._hedged.async_send(call, probed))
+            had_capacity = not is_near_capacity(probed.server)
             if not self._may_send_again(call, result):
                 return self._finish(call, result, result.outcome.value, had_capacity)
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/hedging.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/hedging.py
@@ -65,9 +65,9 @@
         self._placer = placer
         self._sender = sender
 
-    async def async_send(self, call: ForwardedCall, asked: ProbedServer) -> SendResult:
+    async def async_send(self, call: ForwardedCall, probed: ProbedServer) -> SendResult:
         """Send a call once, and once more beside it when its answer is late."""
-        first = self._open_send(call, asked)
+        first = self._open_send(call, probed)
         try:
             if not call.body.has_one_part:
                 return await self._async_send_long(first)
@@ -92,10 +92,10 @@
 
     async def _async_hedge(self, call: ForwardedCall, first: ServerSend) -> SendResult:
         """Wait on for a late answer, with a second send beside it where that pays."""
-        asked = await self._async_place_hedge(call)
-        if asked is None:
+        probed = await self._async_place_hedge(call)
+        if probed is None:
             return await self._async_finish(first)
-        second = self._open_send(call, asked)
+        second = self._open_send(call, probed)
         try:
             return await self._async_race(first, second)
         finally:
@@ -114,22 +114,22 @@
         return result
 
     async def _async_place_hedge(self, call: ForwardedCall) -> ProbedServer | None:
-        """Return a server with room for a second send, or None where it doesn't pay."""
+        """Return a server with capacity for a second send, or None without a gain."""
         if not call.route.is_idempotent or len(call.sends) >= call.route.attempts_max:
             return None
         # A request that may have crashed a server is not sent to two at a time.
         if self._crash_tracker.is_suspected(call.digest):
             return None
-        asked = await self._placer.async_place(call, may_wait=False)
-        if asked is None:
+        probed = await self._placer.async_place(call, may_wait=False)
+        if probed is None:
             return None
         now_s = self._clock.read_monotonic_s()
         budget = self._find_budget(call.service)
-        if not is_near_capacity(asked.server) and budget.spend_send(
+        if not is_near_capacity(probed.server) and budget.spend_send(
             now_s, HEDGE_BUDGET_SHARE
         ):
-            return asked
-        self._sender.release_unused(asked)
+            return probed
+        self._sender.release_unused(probed)
         return None
 
     async def _async_race(self, first: ServerSend, second: ServerSend) -> SendResult:
@@ -153,10 +153,10 @@
                 await result.rest.async_release()
         return best
 
-    def _open_send(self, call: ForwardedCall, asked: ProbedServer) -> ServerSend:
+    def _open_send(self, call: ForwardedCall, probed: ProbedServer) -> ServerSend:
         """Return a send of a call."""
         work_s = self._placer.estimate_work_s(call)
-        return self._sender.open_send(call, asked, work_s)
+        return self._sender.open_send(call, probed, work_s)
 
     def _learn(self, send: ServerSend, result: SendResult) -> None:
         """Learn from the time that an answer took."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -1,4 +1,4 @@
-"""Finds a server for a request: asks, compares, and lets it wait for room."""
+"""Finds a server for a request: probes, compares, and lets it wait for capacity."""
 
 from __future__ import annotations
 
@@ -44,7 +44,7 @@
         The servers.
     chooser : PlacementChooser
         Compares servers.
-    asker : ServerProber
+    prober : ServerProber
         Asks servers for their load.
     pool : ConnectionPool
         Connections to servers.
@@ -58,10 +58,10 @@
     """
 
     __slots__ = (
-        "_asker",
         "_chooser",
         "_clock",
         "_pool",
+        "_prober",
         "_queues",
         "_registry",
         "estimates",
@@ -71,11 +71,11 @@
         self,
         registry: ServerRegistry,
         chooser: PlacementChooser,
-        asker: ServerProber,
+        prober: ServerProber,
         pool: ConnectionPool,
         clock: Clock,
     ) -> None:
-        self._asker = asker
+        self._prober = prober
         self._chooser = chooser
         self._clock = clock
         self._pool = pool
@@ -93,21 +93,21 @@
         Parameters
         ----------
         may_wait : bool
-            Whether the call may wait until a server has room for it.
+            Whether the call may wait until a server has capacity for it.
         """
         service = self._registry.find_service(call.service)
         if service.reports_load is False:
-            return await self._async_place_unasked(service, call)
+            return await self._async_place_unprobed(service, call)
         queue = self._find_queue(call.service)
         placed: ProbedServer | None = None
         if queue.is_empty:
             placed = await self._async_place_fresh(service, call, queue)
         if placed is None and queue.is_empty:
-            placed = await self._async_place_asked(service, call, queue)
+            placed = await self._async_place_probed(service, call, queue)
         if placed is None and may_wait:
             placed = await self._async_wait(service, call, queue)
         if placed is None and queue.is_empty:
-            placed = await self._async_place_without_room(service, call)
+            placed = await self._async_place_without_capacity(service, call)
         return placed
 
     def release_connection(
@@ -115,7 +115,7 @@
     ) -> None:
         """Take the connection of a request that has ended.
 
-        It goes to a call that waits for room, if the server has told that it has some.
+        It goes to a call that waits, if the server has told that it has capacity.
         """
         queue = self._queues.get(server.entry.service)
         if queue is not None:
@@ -123,8 +123,8 @@
             has_told = server.has_current_report(self._clock.read_monotonic_s())
             has_told = has_told and not is_near_capacity(server)
             if has_told and connection.is_idle():
-                asked = ProbedServer(server, connection)
-                if queue.assign(asked):
+                probed = ProbedServer(server, connection)
+                if queue.assign(probed):
                     return
         self._pool.release(server, connection)
         self._registry.find_service(server.entry.service).add_answered(server)
@@ -141,7 +141,7 @@
                 continue
             connected = await self._async_connect(server)
             if connected is not None:
-                self._note_choice(server, call)
+                self._record_estimate(server, call)
                 return connected
         return None
 
@@ -157,29 +157,31 @@
         self._pool.discard(connection)
         return None
 
-    async def _async_place_asked(
+    async def _async_place_probed(
         self, service: ServiceView, call: ForwardedCall, queue: AsyncWaitQueue
     ) -> ProbedServer | None:
         """Ask servers in turn until one is good enough, and return the best one."""
-        asked: list[ProbedServer] = []
+        probed: list[ProbedServer] = []
 
         def is_enough(one: ProbedServer) -> bool:
             return self._is_enough(one.server, call, queue)
 
         for is_own_zone in (True, False):
             servers = self._sample(service, call, queue, is_own_zone)
-            asked += await self._asker.async_probe_in_turn(service, servers, is_enough)
-            if any(is_enough(one) for one in asked):
+            probed += await self._prober.async_probe_in_turn(
+                service, servers, is_enough
+            )
+            if any(is_enough(one) for one in probed):
                 break
-        call.asked += len(asked)
-        if not asked:
-            resting = self._chooser.sample_ejected(service, call.tried)
-            asked = await self._asker.async_probe(service, resting)
-        best = self._choose(asked, call)
-        self._note_choice(best.server if best is not None else None, call)
+        call.probes += len(probed)
+        if not probed:
+            ejected = self._chooser.sample_ejected(service, call.tried)
+            probed = await self._prober.async_probe(service, ejected)
+        best = self._choose(probed, call)
+        self._record_estimate(best.server if best is not None else None, call)
         if best is not None and not self._is_worth_it(best.server, call, queue):
             best = None
-        self._asker.release(asked, best)
+        self._prober.release(probed, best)
         return best
 
     def _sample(
@@ -192,7 +194,7 @@
         """Return servers to ask of the own zone, or of the others."""
         now_s = self._clock.read_monotonic_s()
         size = choose_sample_size(
-            self._asker.remaining_budget_share,
+            self._prober.remaining_budget_share,
             is_own_zone,
             queue.is_overloaded,
             call.objective_s <= now_s,
@@ -204,7 +206,7 @@
     async def _async_wait(
         self, service: ServiceView, call: ForwardedCall, queue: AsyncWaitQueue
     ) -> ProbedServer | None:
-        """Let a call wait until a server has room for it."""
+        """Let a call wait until a server has capacity for it."""
 
         def is_fit(one: ProbedServer) -> bool:
             server = one.server
@@ -219,19 +221,19 @@
 
         work_s = self.estimate_work_s(call)
         began_s = self._clock.read_monotonic_s()
-        ticket = AsyncQueuedCall(call.route.priority, call.objective_s, work_s, is_fit)
+        queued = AsyncQueuedCall(call.route.priority, call.objective_s, work_s, is_fit)
         is_done = False
         try:
-            placed = await queue.async_wait(ticket, poll)
+            placed = await queue.async_wait(queued, poll)
             is_done = True
         finally:
             call.waited_s += self._clock.read_monotonic_s() - began_s
-            if not is_done and ticket.assigned is not None:
+            if not is_done and queued.assigned is not None:
                 self.release_connection(
-                    ticket.assigned.server, ticket.assigned.connection
+                    queued.assigned.server, queued.assigned.connection
                 )
         if placed is not None:
-            self._note_choice(placed.server, call)
+            self._record_estimate(placed.server, call)
         return placed
 
     async def _async_poll(
@@ -245,27 +247,27 @@
             servers += self._chooser.sample_servers(
                 service, call.tried, is_own_zone, now_s, size
             )
-        for one in await self._asker.async_probe(service, servers):
+        for one in await self._prober.async_probe(service, servers):
             if not queue.assign(one):
                 self._pool.release(one.server, one.connection)
 
-    async def _async_place_without_room(
+    async def _async_place_without_capacity(
         self, service: ServiceView, call: ForwardedCall
     ) -> ProbedServer | None:
-        """Return a server where none is known to have room, or None.
+        """Return a server where none is known to have capacity, or None.
 
         No health check may be sent now, or all servers tell that they are full. What
         servers tell may be wrong, so a VM that has nothing running at a service sends
         it a request all the same.
         """
         is_idle = not any(server.in_flight for server in service.members)
-        if self._asker.is_exhausted:
-            return await self._async_place_unasked(service, call, is_idle)
+        if self._prober.is_exhausted:
+            return await self._async_place_unprobed(service, call, is_idle)
         now_s = self._clock.read_monotonic_s()
         full = [one for one in service.members if one.has_current_report(now_s)]
         if not is_idle or not full:
             return None
-        return await self._async_place_unasked(service, call, True, full)
+        return await self._async_place_unprobed(service, call, True, full)
 
     def estimate_work_s(self, call: ForwardedCall) -> float:
         """Return the work of a call on an idle server, in seconds."""
@@ -277,33 +279,33 @@
         members = self._registry.find_service(service).members
         return sum(server.is_usable(now_s) for server in members)
 
-    def _note_choice(self, best: ServerView | None, call: ForwardedCall) -> None:
+    def _record_estimate(self, best: ServerView | None, call: ForwardedCall) -> None:
         """Note for the log what a choice was made from."""
         call.estimate_s = None
         if best is not None:
             call.estimate_s = self._find_times(best, call).estimate_s
 
     def _choose(
-        self, asked: list[ProbedServer], call: ForwardedCall
+        self, probed: list[ProbedServer], call: ForwardedCall
     ) -> ProbedServer | None:
-        """Return the asked server that is expected to answer first, or None.
+        """Return the probed server that is expected to answer first, or None.
 
-        Those with room come first. A server may have left while it was asked.
+        Those with capacity come first. A server may have left while it was probed.
         """
         now_s = self._clock.read_monotonic_s()
         service = self._registry.find_service(call.service)
         work_s = self.estimate_work_s(call)
-        usable = [one.server for one in asked if one.server.is_usable(now_s)]
-        with_room = [server for server in usable if not is_near_capacity(server)]
+        usable = [one.server for one in probed if one.server.is_usable(now_s)]
+        with_capacity = [server for server in usable if not is_near_capacity(server)]
         chosen = self._chooser.choose_server(
-            service, with_room or usable, work_s, now_s
+            service, with_capacity or usable, work_s, now_s
         )
-        return next((one for one in asked if one.server is chosen), None)
+        return next((one for one in probed if one.server is chosen), None)
 
     def _is_enough(
         self, server: ServerView, call: ForwardedCall, queue: AsyncWaitQueue
     ) -> bool:
-        """Return whether no other server needs to be asked."""
+        """Return whether no other server needs to be probed."""
         now_s = self._clock.read_monotonic_s()
         if not server.is_usable(now_s) or not self._is_worth_it(server, call, queue):
             return False
@@ -319,9 +321,11 @@
         self, server: ServerView, call: ForwardedCall, queue: AsyncWaitQueue
     ) -> bool:
         """Return whether a call is sent to a server."""
-        room = ServerCapacity(compute_busy_share(server), not is_near_capacity(server))
+        capacity = ServerCapacity(
+            compute_busy_share(server), not is_near_capacity(server)
+        )
         times = self._find_times(server, call)
-        if is_worth_placing(times, room, queue.is_overloaded):
+        if is_worth_placing(times, capacity, queue.is_overloaded):
             return True
         return (
             is_slow_with_capacity(server) and server.slowdown_estimates.is_trial_due()
@@ -338,29 +342,29 @@
             call.deadline_s - now_s,
         )
 
-    async def _async_place_unasked(
+    async def _async_place_unprobed(
         self,
         service: ServiceView,
         call: ForwardedCall,
         accepts_full: bool = True,
         choices: list[ServerView] | None = None,
     ) -> ProbedServer | None:
-        """Return a server that is not asked, or None when none takes the call.
+        """Return a server that is not probed, or None when none takes the call.
 
         Its service tells no load, or no health check may be sent now.
 
         Parameters
         ----------
         accepts_full : bool
-            Whether servers are taken that are believed to have no room.
+            Whether servers are taken that are believed to have no capacity.
         choices : list of ServerView or None
             Servers to choose from; None for all.
         """
         queue = self._find_queue(call.service)
         tried = set(call.tried)
         while self._clock.read_monotonic_s() < call.deadline_s:
-            server = self._choose_unasked(service, tried, call, choices)
-            self._note_choice(server, call)
+            server = self._choose_unprobed(service, tried, call, choices)
+            self._record_estimate(server, call)
             if server is None:
                 return None
             times = self._find_times(server, call)
@@ -374,7 +378,7 @@
             tried.add(server.vm_id)
         return None
 
-    def _choose_unasked(
+    def _choose_unprobed(
         self,
         service: ServiceView,
         tried: set[str],
@@ -396,7 +400,7 @@
         return self._chooser.choose_server(service, servers, work_s, now_s)
 
     def _find_queue(self, service: str) -> AsyncWaitQueue:
-        """Return the calls that wait for room at a service."""
+        """Return the calls that wait for capacity at a service."""
         queue = self._queues.get(service)
         if queue is None:
             queue = AsyncWaitQueue(self._clock)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
@@ -1,4 +1,4 @@
-"""Asking servers for their load, on the connections that then carry the request."""
+"""Probes servers for their load, on the connections that then carry the request."""
 
 from __future__ import annotations
 
@@ -37,24 +37,24 @@
     connection: ServerConnection
 
 
-class _AskingRound:
-    """The questions of one call, and the answers so far.
+class _ProbeRound:
+    """The probes of one call, and the answers so far.
 
     Attributes
     ----------
     missing : dict
-        Servers that have not answered yet, and when they were asked, in seconds.
+        Servers that have not answered yet, and when they were probed, in seconds.
     """
 
-    __slots__ = ("_answered", "asked", "has_enough", "missing")
+    __slots__ = ("_answered", "answers", "has_enough", "missing")
 
     def __init__(self) -> None:
         self._answered = Event()
-        self.asked: list[ProbedServer] = []
+        self.answers: list[ProbedServer] = []
         self.has_enough = False
         self.missing: dict[ServerView, float] = {}
 
-    def take_answer(
+    def add_answer(
         self,
         server: ServerView,
         connection: ServerConnection | None,
@@ -63,9 +63,9 @@
         """Take the answer of a server."""
         del self.missing[server]
         if connection is not None:
-            asked = ProbedServer(server, connection)
-            self.asked.append(asked)
-            self.has_enough = self.has_enough or is_enough(asked)
+            answer = ProbedServer(server, connection)
+            self.answers.append(answer)
+            self.has_enough = self.has_enough or is_enough(answer)
         self._answered.set()
         self._answered = Event()
 
@@ -77,7 +77,7 @@
 
 
 class ServerProber:
-    """Asks servers for their load and health just before a send.
+    """Probes servers for their load and health just before a send.
 
     An answer also proves that its connection is alive and that the server is the one
     that is meant, so nothing is sent on a connection that has gone silent.
@@ -93,29 +93,29 @@
 
     Attributes
     ----------
-    asked : int
-        Health checks sent.
+    probes_sent : int
+        Probes sent.
     health_paths : dict
         Path of the health check by service.
-    pacer : ProbeLimiter
+    limiter : ProbeLimiter
         Bounds the health checks.
     """
 
-    __slots__ = ("_clock", "_names", "_pool", "asked", "health_paths", "pacer")
+    __slots__ = ("_clock", "_names", "_pool", "health_paths", "limiter", "probes_sent")
 
     def __init__(self, pool: ConnectionPool, names: HeaderNames, clock: Clock) -> None:
         self._clock = clock
-        self.pacer = ProbeLimiter()
+        self.limiter = ProbeLimiter()
         self._names = names
         self._pool = pool
-        self.asked = 0
+        self.probes_sent = 0
         self.health_paths: dict[str, bytes] = {}
 
     async def async_probe(
         self, service: ServiceView, servers: list[ServerView]
     ) -> list[ProbedServer]:
         """Return the servers that have answered in time that they take work."""
-        return await self._async_ask_all(service, servers, 0.0, lambda _: False)
+        return await self._async_probe_all(service, servers, 0.0, lambda _: False)
 
     async def async_probe_in_turn(
         self,
@@ -123,30 +123,32 @@
         servers: list[ServerView],
         is_enough: Callable[[ProbedServer], bool],
     ) -> list[ProbedServer]:
-        """Ask one server after the other until one that has answered is enough.
+        """Probe one server after the other until one that has answered is enough.
 
-        A server that is slow to answer does not hold the next question up.
+        A server that is slow to answer does not hold the next probe up.
         """
-        return await self._async_ask_all(service, servers, LOAD_PROBE_TURN_S, is_enough)
+        return await self._async_probe_all(
+            service, servers, LOAD_PROBE_TURN_S, is_enough
+        )
 
-    async def _async_ask_all(
+    async def _async_probe_all(
         self,
         service: ServiceView,
         servers: list[ServerView],
         turn_s: float,
         is_enough: Callable[[ProbedServer], bool],
     ) -> list[ProbedServer]:
-        """Ask servers in turn, and return those that have answered in time."""
-        round_ = _AskingRound()
+        """Probe servers in turn, and return those that have answered in time."""
+        round_ = _ProbeRound()
 
         async def ask(server: ServerView) -> None:
-            connection = await self._async_ask_server(service, server)
-            round_.take_answer(server, connection, is_enough)
+            connection = await self._async_probe_server(service, server)
+            round_.add_answer(server, connection, is_enough)
 
         async with create_task_group() as tasks:
             for server in servers:
                 now_s = self._clock.read_monotonic_s()
-                if not self.pacer.grant_probes(1, now_s):
+                if not self.limiter.grant_probes(1, now_s):
                     break
                 round_.missing[server] = now_s
                 tasks.start_soon(ask, server)
@@ -158,14 +160,14 @@
                 while round_.missing and not round_.has_enough:
                     await round_.async_wait(LOAD_PROBE_TIMEOUT_S)
             with move_on_after(LOAD_PROBE_TIMEOUT_S_MAX):
-                while round_.missing and not round_.asked:
+                while round_.missing and not round_.answers:
                     await round_.async_wait(LOAD_PROBE_TIMEOUT_S_MAX)
             tasks.cancel_scope.cancel()
         now_s = self._clock.read_monotonic_s()
-        for server, asked_at_s in round_.missing.items():
-            if now_s - asked_at_s >= LOAD_PROBE_TIMEOUT_S:
+        for server, probed_at_s in round_.missing.items():
+            if now_s - probed_at_s >= LOAD_PROBE_TIMEOUT_S:
                 server.record_probe_timeout(now_s)
-        return round_.asked
+        return round_.answers
 
     async def async_is_down(self, server: ServerView) -> bool:
         """Return whether a server that cut a connection has gone down.
@@ -193,20 +195,20 @@
     @property
     def is_exhausted(self) -> bool:
         """Return whether no further health check may be sent now."""
-        return not self.pacer.can_probe(self._clock.read_monotonic_s())
+        return not self.limiter.can_probe(self._clock.read_monotonic_s())
 
     @property
     def remaining_budget_share(self) -> float:
         """Return the part of the budget of health checks that is left."""
-        return self.pacer.compute_remaining_share(self._clock.read_monotonic_s())
+        return self.limiter.compute_remaining_share(self._clock.read_monotonic_s())
 
-    def release(self, asked: list[ProbedServer], chosen: ProbedServer | None) -> None:
+    def release(self, probed: list[ProbedServer], chosen: ProbedServer | None) -> None:
         """Give back the connections of the servers that were not chosen."""
-        for one in asked:
-            if one is not chosen:
-                self._pool.release(one.server, one.connection)
+        for answer in probed:
+            if answer is not chosen:
+                self._pool.release(answer.server, answer.connection)
 
-    async def _async_ask_server(
+    async def _async_probe_server(
         self, service: ServiceView, server: ServerView
     ) -> ServerConnection | None:
         """Return the connection of a server that takes work, or None."""
@@ -259,7 +261,7 @@
             When the connection is broken.
         """
         path = self.health_paths.get(server.entry.service, b"/")
-        self.asked += 1
+        self.probes_sent += 1
         connection.send(
             b"GET %b HTTP/1.1\r\nhost: %b\r\n\r\n" % (path, server.address.encode()),
             is_head=False,
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/wait_queue.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/wait_queue.py
@@ -1,4 +1,4 @@
-"""Calls that wait at this VM until a server has room for them."""
+"""Calls that wait at this VM until a server has capacity for them."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
     Attributes
     ----------
     assigned : ProbedServer or None
-        The server that has room for it.
+        The server that has capacity for it.
     is_fit : callable
         Returns whether a server serves it in time.
     """
@@ -37,9 +37,9 @@
         self.assigned: ProbedServer | None = None
         self.is_fit = is_fit
 
-    def assign(self, asked: ProbedServer) -> None:
+    def assign(self, probed: ProbedServer) -> None:
         """Give the call a server."""
-        self.assigned = asked
+        self.assigned = probed
         self._arrived.set()
 
     async def async_wait(self, timeout_s: float) -> None:
@@ -49,7 +49,7 @@
 
 
 class AsyncWaitQueue:
-    """The calls that wait for room at the servers of one service.
+    """The calls that wait for capacity at the servers of one service.
 
     Parameters
     ----------
@@ -57,61 +57,61 @@
         Tells the time.
     """
 
-    __slots__ = ("_clock", "_line")
+    __slots__ = ("_clock", "_queue")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._line = WaitQueue()
+        self._queue = WaitQueue()
 
     @property
     def is_empty(self) -> bool:
         """Return whether no call waits."""
-        return not len(self._line)
+        return not len(self._queue)
 
     @property
     def is_overloaded(self) -> bool:
-        """Return whether calls that could be in time found no room lately."""
-        return self._line.is_overloaded(self._clock.read_monotonic_s())
+        """Return whether calls that could be in time found no capacity lately."""
+        return self._queue.is_overloaded(self._clock.read_monotonic_s())
 
     def record_freed_slot(self) -> None:
         """Count a slot that a request of this VM has freed."""
-        self._line.record_freed_slot(self._clock.read_monotonic_s())
+        self._queue.record_freed_slot(self._clock.read_monotonic_s())
 
-    def assign(self, asked: ProbedServer) -> bool:
+    def assign(self, probed: ProbedServer) -> bool:
         """Give a server to the call that goes first, and return whether one took it."""
 
         def is_fit(call: QueuedCall) -> bool:
-            return isinstance(call, AsyncQueuedCall) and call.is_fit(asked)
+            return isinstance(call, AsyncQueuedCall) and call.is_fit(probed)
 
-        chosen = self._line.choose_call(is_fit, self._clock.read_monotonic_s())
+        chosen = self._queue.choose_call(is_fit, self._clock.read_monotonic_s())
         if not isinstance(chosen, AsyncQueuedCall):
             return False
-        self._line.remove(chosen)
-        chosen.assign(asked)
+        self._queue.remove(chosen)
+        chosen.assign(probed)
         return True
 
     async def async_wait(
-        self, ticket: AsyncQueuedCall, poll: Callable[[], Awaitable[None]]
+        self, queued: AsyncQueuedCall, poll: Callable[[], Awaitable[None]]
     ) -> ProbedServer | None:
         """Return a server for a call, or None when it can't be in time any more.
 
         Parameters
         ----------
         poll : callable
-            Coroutine function that asks a few servers and offers those with room;
+            Coroutine function that probes a few servers and offers those with capacity;
             called by the call that has waited longest.
         """
         now_s = self._clock.read_monotonic_s()
-        if not self._line.enqueue(ticket, now_s):
+        if not self._queue.enqueue(queued, now_s):
             return None
         try:
-            while ticket.assigned is None and now_s < ticket.latest_start_at_s:
-                await ticket.async_wait(
-                    min(QUEUE_POLL_INTERVAL_S, ticket.latest_start_at_s - now_s)
+            while queued.assigned is None and now_s < queued.latest_start_at_s:
+                await queued.async_wait(
+                    min(QUEUE_POLL_INTERVAL_S, queued.latest_start_at_s - now_s)
                 )
-                if ticket.assigned is None and self._line.is_longest_waiting(ticket):
+                if queued.assigned is None and self._queue.is_longest_waiting(queued):
                     await poll()
                 now_s = self._clock.read_monotonic_s()
         finally:
-            self._line.remove(ticket)
-        return ticket.assigned
+            self._queue.remove(queued)
+        return queued.assigned
