Let probes come steadily when their budget is short

Cause: the budget of probes was kept over any 1.25 s.

Now it is a token bucket that holds a quarter of a second. No second takes more than before (1.25 times the share), and the same test of it holds; a minute takes a quarter of a second more than its share once, after an idle time.

Test: with constant demand no gap between probes is longer than two of the rate; before, it was half a second and more.

--- a/packages/cardamomtack/src/cardamomtack/measuring/pacer.py
+++ b/packages/cardamomtack/src/cardamomtack/measuring/pacer.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 from collections import deque
+from math import inf
 
 from cardamomtack.generated.configuration import MeasuringBudget
 from cardamomtack.measuring.const import WINDOW_S
 
+BUCKET_S = 0.25
+REFILL_S_MAX = 60.0
+
 
 class SlidingWindowLimit:
     """Bounds what is spent in any window of time.
@@ -46,12 +50,19 @@
 
 
 class ProbeLimiter:
-    """Spends at most an equal share of the health checks that the fleet may send."""
+    """Spends at most an equal share of the probes that the fleet may send.
+
+    A token bucket that holds a quarter of a second: no second takes more than that
+    beyond the share, and after a burst probes come steadily. A VM that may probe nobody
+    for a while finds no slot, however many come free.
+    """
 
-    __slots__ = ("_limit", "skipped")
+    __slots__ = ("_rate_per_s", "_refilled_at_s", "_tokens", "skipped")
 
     def __init__(self) -> None:
-        self._limit = SlidingWindowLimit(0.0)
+        self._rate_per_s = 0.0
+        self._refilled_at_s = -inf
+        self._tokens = 0.0
         self.skipped = 0
 
     def apply_bounds(
@@ -62,28 +73,42 @@
         Parameters
         ----------
         checks_per_server_per_s : float
-            Health checks that one server may get from all VMs in a second.
+            Probes that one server may get from all VMs in a second.
         servers, vms : int
             How many servers and VMs there are.
         """
-        self._limit.limit = checks_per_server_per_s * servers / max(1, vms) * WINDOW_S
+        self._rate_per_s = checks_per_server_per_s * servers / max(1, vms)
 
     def can_probe(self, now_s: float) -> bool:
-        """Return whether one more check may be sent now."""
-        return self._limit.can_spend(now_s)
+        """Return whether one more probe may be sent now."""
+        self._refill(now_s)
+        return self._tokens >= 1.0
 
     def compute_remaining_share(self, now_s: float) -> float:
-        """Return the part of this VM's share that is left, from 0 to 1."""
-        return self._limit.compute_remaining_share(now_s)
+        """Return the part of the bucket that is left, from 0 to 1."""
+        self._refill(now_s)
+        capacity = self._compute_capacity()
+        return self._tokens / capacity if capacity else 0.0
 
     def grant_probes(self, wanted: int, now_s: float) -> int:
-        """Return how many of the wanted checks may be sent now, and spend them."""
-        granted = 0
-        while granted < wanted and self._limit.spend(1.0, now_s):
-            granted += 1
+        """Return how many of the wanted probes may be sent now, and spend them."""
+        self._refill(now_s)
+        granted = int(min(wanted, self._tokens))
+        self._tokens -= granted
         self.skipped += wanted - granted
         return granted
 
+    def _compute_capacity(self) -> float:
+        """Return how many probes the bucket holds, one at least."""
+        return max(1.0, BUCKET_S * self._rate_per_s) if self._rate_per_s else 0.0
+
+    def _refill(self, now_s: float) -> None:
+        """Add what may be spent since the last time."""
+        elapsed_s = now_s - self._refilled_at_s
+        self._refilled_at_s = now_s
+        tokens = self._tokens + self._rate_per_s * min(elapsed_s, REFILL_S_MAX)
+        self._tokens = min(self._compute_capacity(), tokens)
+
 
 class MeasuringLimiter:
     """Spends at most an equal share of the fleet's budget.
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
-from math import inf
 from random import Random
 from typing import Protocol
 
@@ -39,6 +38,8 @@
 from cardamomtack_standins.model.load import KindLoad
 from cardamomtack_standins.model.server import ModelServer
 
+UNBOUNDED_PROBES_PER_S = 1e6
+
 
 @dataclass(slots=True, frozen=True)
 class ModelCall:
@@ -219,7 +220,7 @@
         refuses: bool = True,
         asks: bool = True,
         waits: bool = True,
-        checks_per_s: float = inf,
+        checks_per_s: float = UNBOUNDED_PROBES_PER_S,
         learns_waits: bool = False,
     ) -> None:
         super().__init__(servers, random)
--- a/tests/cardamomtack/placing/test_decisions.py
+++ b/tests/cardamomtack/placing/test_decisions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from itertools import pairwise
 from random import Random
 
 from cardamomtack.discovery.entry import ServerEntry
@@ -296,6 +297,34 @@
             self.assertLessEqual(len(window), 60.0 * 24 / 13 * 1.25)
         self.assertGreater(pacer.skipped, 0)
 
+    def test_health_checks_of_a_vm_stay_within_its_share_of_a_minute(self):
+        limiter = ProbeLimiter()
+        limiter.apply_bounds(60.0, 24, 13)
+        sent = sum(limiter.grant_probes(8, step * 0.01) for step in range(6000))
+        # The bucket is full once, at the start.
+        self.assertLessEqual(sent, 60.0 * 24 / 13 * 60.25)
+
+    def test_health_checks_come_steadily_after_a_burst(self):
+        limiter = ProbeLimiter()
+        limiter.apply_bounds(60.0, 33, 16)
+        steps = [step * 0.001 for step in range(5000)]
+        granted_s = [now_s for now_s in steps if limiter.grant_probes(1, now_s)]
+        gaps_s = [later - earlier for earlier, later in pairwise(granted_s)]
+        self.assertLess(max(gaps_s), 2.0 / (60.0 * 33 / 16))
+
+    def test_a_vm_of_a_large_fleet_may_probe(self):
+        limiter = ProbeLimiter()
+        limiter.apply_bounds(1.0, 10, 100)
+        self.assertEqual(limiter.grant_probes(2, 0.0), 1)
+        self.assertEqual(limiter.grant_probes(1, 5.0), 0)
+        self.assertEqual(limiter.grant_probes(1, 10.5), 1)
+
+    def test_no_bounds_no_probes(self):
+        limiter = ProbeLimiter()
+        self.assertEqual(limiter.grant_probes(1, 1.0), 0)
+        self.assertEqual(limiter.compute_remaining_share(1.0), 0.0)
+        self.assertFalse(limiter.can_probe(2.0))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/cardamomtack/placing/test_refusing.py
+++ b/tests/cardamomtack/placing/test_refusing.py
@@ -4,7 +4,6 @@
 
 import unittest
 from dataclasses import replace
-from math import inf
 from random import Random
 
 from cardamomtack.placing.admission import (
@@ -16,7 +15,10 @@
 from cardamomtack.placing.server import ServiceView
 from cardamomtack_standins.model.load import plan_short_work
 from cardamomtack_standins.model.play import FleetShape, LoadPlay
-from cardamomtack_standins.model.policies import AskingPolicy
+from cardamomtack_standins.model.policies import (
+    UNBOUNDED_PROBES_PER_S,
+    AskingPolicy,
+)
 from cardamomtack_standins.model.server import ServerTraits
 
 LENGTH_S = 8.0
@@ -101,7 +103,7 @@
             self.service.add_member(server)
 
 
-def play(plan, shape, policy, checks_per_s=inf):
+def play(plan, shape, policy, checks_per_s=UNBOUNDED_PROBES_PER_S):
     """Return what callers get from policies that learn how long they have waited."""
     return [
         LoadPlay(
