Play a bound beside the policies of placing

Cause: the policy that knew everything accepted all calls, so under overload it got less than the product and bounded nothing.

OraclePolicy knows each server's load and speed at each moment, lets the VMs share one queue and refuses what can't be in time. script/experiment plays it, and the product within its budget of probes, for the desk's load or one of short requests; policies and multiples of the load can be named.

It stops waiting as early as the product does.

--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/experiment.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/experiment.py
@@ -7,7 +7,8 @@
 
 from fire import Fire
 
-from cardamomtack_standins.model.load import plan_desk
+from cardamomtack_standins.model.load import LoadPlan, plan_desk, plan_short_work
+from cardamomtack_standins.model.oracle import FleetQueue, OraclePolicy
 from cardamomtack_standins.model.play import (
     FleetShape,
     LoadPlay,
@@ -24,6 +25,14 @@
 
 FACTORS = (0.5, 1.0, 1.5, 2.0, 2.5, 3.0)
 LENGTH_S = 15.0
+PROBES_PER_SERVER_PER_S = 60.0
+
+LOADS = {"desk": plan_desk, "short": plan_short_work}
+ORACLE = "oracle"
+"""Its VMs share one queue, so each play makes its own."""
+
+PRODUCT_IN_BUDGET = "product, in its budget"
+"""Probes no more than a VM's share of what the fleet may, as the daemon does."""
 
 POLICIES: dict[str, PolicyMaker] = {
     "product": lambda servers, random, zone: AskingPolicy(servers, random, zone),
@@ -50,13 +59,27 @@
     served: float
 
 
+def choose_policy(policy: str, shape: FleetShape) -> PolicyMaker:
+    """Return what makes the policies of the VMs of one play."""
+    if policy == ORACLE:
+        queue = FleetQueue()
+        return lambda servers, random, zone: OraclePolicy(servers, random, queue)
+    if policy == PRODUCT_IN_BUDGET:
+        probes_per_s = PROBES_PER_SERVER_PER_S * shape.servers / shape.vms
+        return lambda servers, random, zone: AskingPolicy(
+            servers, random, zone, checks_per_s=probes_per_s, learns_waits=True
+        )
+    return POLICIES[policy]
+
+
 def play_policy(
-    policy: str, factor: float, shape: FleetShape, seeds: int
+    policy: str, factor: float, shape: FleetShape, seeds: int, load: str = "desk"
 ) -> ExperimentRow:
     """Return what callers get under a policy at so many times the usual load."""
-    plan = plan_desk(LENGTH_S, ((0.0, LENGTH_S, factor),))
+    plan: LoadPlan = LOADS[load](LENGTH_S, ((0.0, LENGTH_S, factor),))
     outcomes = [
-        LoadPlay(plan, shape, POLICIES[policy], seed).run() for seed in range(seeds)
+        LoadPlay(plan, shape, choose_policy(policy, shape), seed).run()
+        for seed in range(seeds)
     ]
     return ExperimentRow(
         policy,
@@ -81,7 +104,7 @@
     from matplotlib import pyplot
 
     figure, axes = pyplot.subplots(1, 2, figsize=(9, 4), sharey=True)
-    for policy in POLICIES:
+    for policy in dict.fromkeys(row.policy for row in rows):
         own = [row for row in rows if row.policy == policy]
         factors = [row.factor for row in own]
         axes[0].plot(factors, [row.credit for row in own], marker="o", label=policy)
@@ -102,18 +125,36 @@
     slots: int = 6,
     zones: int = 4,
     seeds: int = 3,
+    load: str = "desk",
+    policies: tuple[str, ...] = (*POLICIES, PRODUCT_IN_BUDGET, ORACLE),
+    factors: tuple[float, ...] = FACTORS,
     plot: str = "",
 ) -> None:
     """Print what callers get under each policy and load.
 
     Example: script/experiment --servers 20 --slots 3 --plot run/experiment.png
+    Example: script/experiment --load short --policies "['product', 'oracle']"
+
+    Parameters
+    ----------
+    load : str
+        ``desk`` or ``short``.
+    policies : tuple of str
+        Names of policies.
+    factors : tuple of float
+        Multiples of the usual load.
     """
+    known = (*POLICIES, PRODUCT_IN_BUDGET, ORACLE)
+    unknown = [name for name in policies if name not in known]
+    if load not in LOADS or unknown:
+        print(f"loads: {', '.join(LOADS)}; policies: {', '.join(known)}")
+        raise SystemExit(2)
     shape = FleetShape(vms, servers, zones, ServerTraits(slots, 2 * slots))
     rows: list[ExperimentRow] = []
     print(f"{'policy':22} {'load':>5} {'credit':>7} {'in time':>8} {'served':>7}")
-    for policy in POLICIES:
-        for factor in FACTORS:
-            row = play_policy(policy, factor, shape, seeds)
+    for policy in policies:
+        for factor in factors:
+            row = play_policy(policy, factor, shape, seeds, load)
             rows.append(row)
             print(
                 f"{policy:22} {factor:5.1f} {row.credit:7.3f} {row.in_time:8.3f} "
