--- a/packages/cardamomtack/src/cardamomtack/discovery/registry.py
+++ b/packages/cardamomtack/src/cardamomtack/discovery/registry.py
@@ -1,8 +1,8 @@
 """The servers that may get work, from entries that come, change and vanish.
 
-The load that this answers: servers that drain, end, start again under their id, and
-give their address to others, while the source of the entries is away, drops its
-history, or lets entries lapse that are back a moment later.
+This module handles servers that drain, end, start again under their id, and give their
+address to others, while the source of the entries is away, drops its history, or lets
+entries lapse that are back a moment later.
 """
 
 from __future__ import annotations
--- a/packages/cardamomtack/src/cardamomtack/placing/budget.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/budget.py
@@ -37,7 +37,7 @@
         self._requests: deque[float] = deque()
 
     def apply_bounds(self, share: float, slack: float, window_s: float) -> None:
-        """Take the bounds.
+        """Apply the bounds.
 
         Parameters
         ----------
--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -143,7 +143,7 @@
         )
 
     def apply_entry(self, entry: ServerEntry, now_s: float) -> None:
-        """Take a newer entry of the same server."""
+        """Apply a newer entry of the same server."""
         self.entry = entry
         self._warm_at_s = now_s + entry.warm_up_left_s
 
@@ -158,19 +158,19 @@
         return now_s < self._warm_at_s
 
     def record_report(self, report: LoadReport, now_s: float) -> None:
-        """Take a load report that has just arrived."""
+        """Record a load report that has just arrived."""
         self.report = report
         self.sent_since_report = 0
         self._reported_at_s = now_s
         self._probe_timeouts = 0
 
     def record_answer_report(self, report: LoadReport, now_s: float) -> None:
-        """Take the load report of the answer to a request that has run."""
+        """Record the load report of the answer to a request that has run."""
         running = self.slowdown_estimates.exclude_answered(report.running)
         self.record_report(replace(report, running=running), now_s)
 
     def assume_report(self, report: LoadReport, now_s: float) -> None:
-        """Take a report worked out from other servers' in place of none or an old one.
+        """Assume a report worked out from other servers' in place of none or an old one.
 
         Requests of this VM that have ended meanwhile no longer count beside it.
         """
@@ -201,20 +201,20 @@
         return now_s - self._reported_at_s <= age_s_max
 
     def record_success(self, now_s: float) -> None:
-        """Note an answer that is no failure of the server."""
+        """Record an answer that is no failure of the server."""
         self._failed_in_row = 0
         self._move_failure_share(0.0, now_s)
         self.ejected_until_s = 0.0
 
     def record_failure(self, now_s: float) -> None:
-        """Note a failure; several in a row eject the server for a while."""
+        """Record a failure; several in a row eject the server for a while."""
         self._failed_in_row += 1
         self._move_failure_share(1.0, now_s)
         if self._failed_in_row >= EJECTION_FAILURES:
             self._eject(now_s)
 
     def record_soft_failure(self, now_s: float) -> None:
-        """Note that a request takes far too long, or was rejected in spite of capacity.
+        """Record that a request takes far too long, or was rejected in spite of capacity.
 
         The server is only passed over beside better ones: in overload such things
         happen at many, and the servers are needed.
@@ -222,7 +222,7 @@
         self._move_failure_share(1.0, now_s)
 
     def record_probe_timeout(self, now_s: float) -> None:
-        """Note that a probe got no answer in time; the server is ejected for a moment.
+        """Record that a probe got no answer in time; the server is ejected for a moment.
 
         The ejection grows with each timeout and ends with the next report.
         """
@@ -233,7 +233,7 @@
         self.ejected_until_s = max(self.ejected_until_s, now_s + pause_s)
 
     def record_unreachable(self, now_s: float) -> None:
-        """Note that no connection could be opened; the server is ejected at once."""
+        """Record that no connection could be opened; the server is ejected at once."""
         self._failed_in_row = max(self._failed_in_row + 1, EJECTION_FAILURES)
         self._eject(now_s)
 
@@ -292,7 +292,7 @@
         self.slowdown_estimates = SlowdownEstimates()
 
     def add_member(self, server: ServerView) -> None:
-        """Take a server that has come."""
+        """Add a server that has come."""
         self.members.append(server)
         self._split = None
 
@@ -329,7 +329,7 @@
         return self._split[1] if is_own_zone else self._split[2]
 
     def add_answered(self, server: ServerView) -> None:
-        """Note a server whose answer has just told its load."""
+        """Record a server whose answer has just told its load."""
         self._answered.append(server)
 
     def list_fresh(self, now_s: float) -> list[ServerView]:
@@ -343,7 +343,7 @@
         return fresh
 
     def record_report(self, report: LoadReport) -> None:
-        """Take the report of one server into the usual load of all."""
+        """Add the report of one server to the usual load of all."""
         busy_share = (report.running + report.waiting) / report.slots
         if self._busy_share is None:
             self._busy_share = busy_share
--- a/packages/cardamomtack/src/cardamomtack/placing/wait_queue.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/wait_queue.py
@@ -94,7 +94,7 @@
         return True
 
     def remove(self, call: QueuedCall) -> None:
-        """Take out a call, whether it got capacity or not."""
+        """Remove a call, whether it got capacity or not."""
         if call in self._calls:
             self._calls.remove(call)
 
--- a/packages/cardamomtack/src/cardamomtack/quarantine/tracker.py
+++ b/packages/cardamomtack/src/cardamomtack/quarantine/tracker.py
@@ -1,9 +1,9 @@
 """The crashes of servers, and the requests that were in flight on them.
 
-The load that this answers: a request that crashes each server that runs it, among many
-callers' requests that are in flight on the same servers. Many callers may send the same
-request, so that it is in flight at unrelated crashes too; it is answered all the time,
-and the one that crashes servers never is.
+This module handles a request that crashes each server that runs it, among many callers'
+requests that are in flight on the same servers. Many callers may send the same request,
+so that it is in flight at unrelated crashes too; it is answered all the time, and the
+one that crashes servers never is.
 """
 
 from __future__ import annotations
--- a/packages/cardamomtack/src/cardamomtack/replicas/members.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/members.py
@@ -1,11 +1,11 @@
 """The entry VMs, and who of them reads the store for the others.
 
-The load that this answers: reads of the store are paid by the call, and 115 VMs that
-each read for themselves would pay for every change 115 times; and bytes between
-availability zones are dear. Two VMs read, whatever the size of the fleet. In each zone
-a few VMs hear from them and the others of the zone from those few, so that the way to
-another zone is paid once for many. Nobody is set aside: every VM ranks the VMs it knows
-alike, and takes over as soon as those before it are silent.
+Reads of the store are paid by the call, and 115 VMs that each read for themselves would
+pay for every change 115 times; and bytes between availability zones are dear. Two VMs
+read, whatever the size of the fleet. In each zone a few VMs hear from them and the
+others of the zone from those few, so that the way to another zone is paid once for
+many. Nobody is set aside: every VM ranks the VMs it knows alike, and takes over as soon
+as those before it are silent.
 """
 
 from __future__ import annotations
--- a/packages/cardamomtack/src/cardamomtack/replicas/topic.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/topic.py
@@ -1,7 +1,7 @@
 """A replica of one keyed topic, which never goes back.
 
-The load that this answers: records that arrive from the store, from several relays
-and from snapshots, late, twice, stale or after a loss of history.
+This module handles records that arrive from the store, from several relays and from
+snapshots, late, twice, stale or after a loss of history.
 """
 
 from __future__ import annotations
--- a/packages/cardamomtack/src/cardamomtack/routing/weighted_round_robin.py
+++ b/packages/cardamomtack/src/cardamomtack/routing/weighted_round_robin.py
@@ -1,9 +1,8 @@
 """Splits of the requests of a route between services by weight.
 
-The load that this answers: routes with few requests a second on each VM, whose
-shares must hold over short spans. Dealing in turn keeps every part within one
-request of its share on a VM, where drawing at random strays by the square root of
-the number of requests.
+This module handles routes with few requests a second on each VM, whose shares must hold
+over short spans. Dealing in turn keeps every part within one request of its share on a
+VM, where drawing at random strays by the square root of the number of requests.
 """
 
 from __future__ import annotations
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -168,7 +168,7 @@
         return self._record_result(await self._sender.async_break(self, error))
 
     def _record_result(self, result: SendResult) -> SendResult:
-        """Note a result for the log."""
+        """Record a result for the log."""
         self.record.outcome = result.outcome.value
         self.is_streaming = result.rest is not None
         return result
@@ -239,7 +239,7 @@
         return ServerSend(self, call, probed, work_s)
 
     def begin(self, send: ServerSend) -> None:
-        """Note that a send begins."""
+        """Record that a send begins."""
         send.call.sends.append(send.record)
         send.call.tried.add(send.server.vm_id)
         send.server.record_send()
@@ -247,7 +247,7 @@
         self._connections.add(send.connection)
 
     def end(self, send: ServerSend) -> None:
-        """Note that a send has ended; a connection that isn't clean is closed."""
+        """Record that a send has ended; a connection that isn't clean is closed."""
         server = send.server
         digests = self._digests[server.vm_id]
         digests.remove(send.call.digest)
@@ -323,7 +323,7 @@
             self._record_crash(server, suspects)
 
     def _record_crash(self, server: ServerView, suspects: list[bytes]) -> None:
-        """Note a crash of a server."""
+        """Record a crash of a server."""
         server.record_unreachable(self._clock.read_monotonic_s())
         self._pool.close_connections(server.vm_id)
         suspects = self._crash_tracker.filter_suspects(suspects)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -281,7 +281,7 @@
         self._stopped.set()
 
     def apply_settings(self, settings: EntrySettings) -> None:
-        """Take newer settings; addresses stay those of the start."""
+        """Apply newer settings; addresses stay those of the start."""
         self._settings = settings
         self._forwarder.settings = settings
         self._share_budgets()
@@ -334,7 +334,7 @@
         logger.bind(left=self._forwarder.in_flight).info("graceful shutdown done")
 
     def _apply_configuration(self, configuration: FleetConfiguration) -> None:
-        """Take a new configuration."""
+        """Apply a new configuration."""
         limits = configuration.limits
         if limits is not None:
             self._limits.body_bytes_max = limits.body_bytes_max
@@ -380,7 +380,7 @@
         )
 
     def _report_crash(self, server_id: str, digests: list[bytes]) -> None:
-        """Tell all VMs of a crash, this one included."""
+        """Notify all VMs of a crash, this one included."""
         notice_id = f"{SystemRandom().getrandbits(INCARNATION_BITS):016x}"
         self._relay.broadcast_crash(CrashNotice(notice_id, server_id, digests))
 
@@ -393,5 +393,5 @@
             self._members.mark_unreachable(own_id, self._clock.read_monotonic_s())
 
     def _apply_crash(self, notice: CrashNotice) -> None:
-        """Take the notice of a crash of a server."""
+        """Handle the notice of a crash of a server."""
         self._crash_tracker.record_crash(notice.server_id, notice.request_digests)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -113,7 +113,7 @@
     def release_connection(
         self, server: ServerView, connection: ServerConnection
     ) -> None:
-        """Take the connection of a request that has ended.
+        """Accept the connection of a request that has ended.
 
         It goes to a call that waits, if the server has told that it has capacity.
         """
@@ -280,7 +280,7 @@
         return sum(server.is_usable(now_s) for server in members)
 
     def _record_estimate(self, best: ServerView | None, call: ForwardedCall) -> None:
-        """Note for the log what a choice was made from."""
+        """Record for the log what a choice was made from."""
         call.estimate_s = None
         if best is not None:
             call.estimate_s = self._find_times(best, call).estimate_s
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
@@ -60,7 +60,7 @@
         connection: ServerConnection | None,
         is_enough: Callable[[ProbedServer], bool],
     ) -> None:
-        """Take the answer of a server."""
+        """Add the answer of a server."""
         del self.missing[server]
         if connection is not None:
             answer = ProbedServer(server, connection)
@@ -276,7 +276,7 @@
     def _record_load(
         self, service: ServiceView, server: ServerView, answer: HttpAnswer
     ) -> None:
-        """Take the load that an answer tells."""
+        """Record the load that an answer tells."""
         value = answer.find_header(self._names.load)
         report = self._names.parse_load(value) if value is not None else None
         if report is not None:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/reader.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/reader.py
@@ -39,7 +39,7 @@
         The topic at the store.
     is_reader : callable
         Returns whether others rely on this VM.
-    note_answer : callable
+    record_answer : callable
         Is told after each read whether the store answered.
     clock : Clock
         Tells the time.
@@ -57,8 +57,8 @@
         "_clock",
         "_is_reader",
         "_must_read_newest",
-        "_note_answer",
         "_random",
+        "_record_answer",
         "_replica",
         "_source",
         "_timeout_s",
@@ -72,7 +72,7 @@
         replica: TopicReplica,
         source: TopicSource,
         is_reader: Callable[[], bool],
-        note_answer: Callable[[bool], None],
+        record_answer: Callable[[bool], None],
         clock: Clock,
         random: Random,
     ) -> None:
@@ -80,7 +80,7 @@
         self._clock = clock
         self._is_reader = is_reader
         self._must_read_newest = False
-        self._note_answer = note_answer
+        self._record_answer = record_answer
         self._random = random
         self._replica = replica
         self._source = source
@@ -103,7 +103,7 @@
             except StoreError as error:
                 await self._async_back_off(error)
             else:
-                self._note_answered()
+                self._record_answered()
                 if has_records:
                     # Changes that come together are read together.
                     await sleep(BATCH_S)
@@ -151,11 +151,11 @@
         self._replica.confirm(min(now_s, sent_at_s + wait_s))
         return bool(page.records)
 
-    def _note_answered(self) -> None:
-        """Note that the store answers."""
+    def _record_answered(self) -> None:
+        """Record that the store answers."""
         if self._backoff_s > BACKOFF_S_MIN:
             logger.bind(topic=self._replica.topic).info("the store can be read again")
-        self._note_answer(True)
+        self._record_answer(True)
         self._backoff_s = BACKOFF_S_MIN
         self._timeout_s = READ_TIMEOUT_S
         self._was_answered = True
@@ -170,7 +170,7 @@
             logger.bind(topic=self._replica.topic, error=str(error)).warning(
                 "the store can't be read"
             )
-        self._note_answer(False)
+        self._record_answer(False)
         self._was_answered = False
         self._timeout_s = min(READ_TIMEOUT_S_MAX, 1.5 * self._timeout_s)
         is_pressing = self._is_reader() or self._replica.end == END_UNKNOWN
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/registration.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/registration.py
@@ -85,7 +85,7 @@
             logger.bind(error=str(error)).warning("record of this VM stays")
 
     def _take(self, records: list[bytes]) -> None:
-        """Take the records of other VMs."""
+        """Apply the records of other VMs."""
         for record in records:
             try:
                 self._members.update_member(msgpack.decode(record, type=Member))
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -104,14 +104,14 @@
         self._upstream: Outbox | None = None
         for replica in replicas:
             replica.add_records_listener(self._relay_records)
-            replica.add_confirmation_listener(self._note_confirmed)
+            replica.add_confirmation_listener(self._record_confirmation)
 
     def broadcast_crash(self, notice: CrashNotice) -> None:
-        """Tell all VMs of a crash that this VM has seen."""
-        self._spread_crash(notice, None)
+        """Notify all VMs of a crash that this VM has seen."""
+        self._forward_crash(notice, None)
 
     def broadcast_leaving(self) -> None:
-        """Tell all VMs that this one leaves."""
+        """Notify all VMs that this one leaves."""
         own = self._members.own
         leaving = Member(
             own.vm_id,
@@ -121,7 +121,7 @@
             own.port,
             is_leaving=True,
         )
-        self._spread(RelayMessage(members=Members([leaving])), None)
+        self._forward(RelayMessage(members=Members([leaving])), None)
 
     async def async_serve(
         self,
@@ -172,7 +172,7 @@
                 self._upstream = outbox
                 outbox.send_nowait(encode_frame(self._write_subscription()))
                 self._send_notices(outbox)
-                await self._async_take_messages(messages, outbox, upstream)
+                await self._async_receive_messages(messages, outbox, upstream)
                 tasks.cancel_scope.cancel()
         except* RELAY_ERRORS as group:
             logger.bind(upstream=upstream.vm_id, error=repr(group.exceptions[0])).info(
@@ -189,10 +189,10 @@
         """Pass over an upstream VM for a while."""
         self._members.mark_unreachable(upstream.vm_id, self._clock.read_monotonic_s())
 
-    async def _async_take_messages(
+    async def _async_receive_messages(
         self, messages: MessageStream[RelayMessage], outbox: Outbox, upstream: Member
     ) -> None:
-        """Take the messages of an upstream VM while it is the right one.
+        """Receive the messages of an upstream VM while this VM subscribes to it.
 
         Raises
         ------
@@ -202,7 +202,7 @@
         began_s = self._clock.read_monotonic_s()
         while True:
             message = await messages.async_receive(SILENCE_S_MAX)
-            self._take_message(message, outbox)
+            self._handle_message(message, outbox)
             now_s = self._clock.read_monotonic_s()
             if message.freshness is not None:
                 if len(message.freshness.topics) == len(self._replicas):
@@ -225,14 +225,14 @@
                 tasks.start_soon(_async_write, queue, messages)
                 self._welcome(first.subscribe, outbox)
                 while True:
-                    self._take_message(await messages.async_receive(None), outbox)
+                    self._handle_message(await messages.async_receive(None), outbox)
         except* RELAY_ERRORS:
             pass
         finally:
             self._subscribers.discard(outbox)
 
     def _welcome(self, subscribe: Subscribe, outbox: Outbox) -> None:
-        """Tell a new subscriber what it does not know yet."""
+        """Send a new subscriber what it does not know yet."""
         known = {one.topic: one.end for one in subscribe.positions}
         members = Members(self._members.list_members())
         outbox.send_nowait(encode_frame(RelayMessage(members=members)))
@@ -243,10 +243,10 @@
         self._send_notices(outbox)
         self._subscribers.add(outbox)
         outbox.send_nowait(encode_frame(self._write_freshness()))
-        self._take_members([subscribe.member], outbox)
+        self._apply_members([subscribe.member], outbox)
 
-    def _take_message(self, message: RelayMessage, source: Outbox) -> None:
-        """Take a message of another VM.
+    def _handle_message(self, message: RelayMessage, source: Outbox) -> None:
+        """Handle a message of another VM.
 
         Raises
         ------
@@ -258,42 +258,42 @@
             if replica is not None:
                 replica.apply_records(message.records)
         if message.freshness is not None:
-            self._take_freshness(message.freshness)
+            self._apply_freshness(message.freshness)
         if message.members is not None:
-            self._take_members(message.members.members, source)
+            self._apply_members(message.members.members, source)
         if message.crash is not None:
-            self._spread_crash(message.crash, source)
+            self._forward_crash(message.crash, source)
 
-    def _take_freshness(self, freshness: Freshness) -> None:
-        """Take what an upstream VM says of the age of its topics."""
+    def _apply_freshness(self, freshness: Freshness) -> None:
+        """Apply what an upstream VM says of the age of its topics."""
         now_s = self._clock.read_monotonic_s()
         for topic in freshness.topics:
             replica = self._replicas.get(topic.topic)
             if replica is not None and replica.end >= topic.end:
                 replica.confirm(now_s - topic.age_ms / MS_PER_S)
 
-    def _take_members(self, members: list[Member], source: Outbox) -> None:
-        """Take news of VMs and pass on what is new."""
+    def _apply_members(self, members: list[Member], source: Outbox) -> None:
+        """Apply news of VMs and forward what is new."""
         new = [member for member in members if self._members.update_member(member)]
         if new:
-            self._spread(RelayMessage(members=Members(new)), source)
+            self._forward(RelayMessage(members=Members(new)), source)
 
-    def _spread_crash(self, notice: CrashNotice, source: Outbox | None) -> None:
-        """Take the notice of a crash and pass it on, once."""
+    def _forward_crash(self, notice: CrashNotice, source: Outbox | None) -> None:
+        """Handle the notice of a crash and forward it once."""
         if notice.notice_id in self._notices:
             return
         self._notices[notice.notice_id] = notice
         if len(self._notices) > NOTICES_KEPT:
             self._notices.popitem(last=False)
         self._apply_crash(notice)
-        self._spread(RelayMessage(crash=notice), source)
+        self._forward(RelayMessage(crash=notice), source)
 
     def _send_notices(self, outbox: Outbox) -> None:
-        """Tell another VM of the crashes that it may have missed."""
+        """Notify another VM of the crashes that it may have missed."""
         for notice in self._notices.values():
             outbox.send_nowait(encode_frame(RelayMessage(crash=notice)))
 
-    def _spread(self, message: RelayMessage, source: Outbox | None) -> None:
+    def _forward(self, message: RelayMessage, source: Outbox | None) -> None:
         """Send a message on all streams but the one on which it came."""
         frame = encode_frame(message)
         outboxes = list(self._subscribers)
@@ -311,13 +311,13 @@
         for outbox in list(self._subscribers):
             self._send(outbox, frame)
 
-    def _note_confirmed(self) -> None:
+    def _record_confirmation(self) -> None:
         """Have the subscribers told that a topic was confirmed."""
         if self._subscribers:
             self._confirmed.set()
 
     async def _async_tell_freshness(self) -> None:
-        """Tell the subscribers how fresh the topics are.
+        """Send the subscribers how fresh the topics are.
 
         They are told as soon as a topic was confirmed, so that its age does not grow
         from relay to relay, and at a fixed interval as a heartbeat.
