--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -170,7 +170,7 @@
         self.record_report(replace(report, running=running), now_s)
 
     def assume_report(self, report: LoadReport, now_s: float) -> None:
-        """Assume a report worked out from other servers' in place of none or an old one.
+        """Assume a report worked out from others' in place of none or an old one.
 
         Requests of this VM that have ended meanwhile no longer count beside it.
         """
@@ -214,7 +214,7 @@
             self._eject(now_s)
 
     def record_soft_failure(self, now_s: float) -> None:
-        """Record that a request takes far too long, or was rejected in spite of capacity.
+        """Record that a request takes far too long or was rejected despite capacity.
 
         The server is only passed over beside better ones: in overload such things
         happen at many, and the servers are needed.
@@ -222,7 +222,7 @@
         self._move_failure_share(1.0, now_s)
 
     def record_probe_timeout(self, now_s: float) -> None:
-        """Record that a probe got no answer in time; the server is ejected for a moment.
+        """Record that a probe got no answer in time; the server is ejected briefly.
 
         The ejection grows with each timeout and ends with the next report.
         """
