Judge a rejection in one place, and mend a word that a rename broke

The order of the calls on a rejected request is as before: counted out, its report taken, its server judged. 'A penalty for penalty' is one for failures again.

--- a/packages/cardamomtack/src/cardamomtack/placing/admission.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/admission.py
@@ -108,7 +108,7 @@
     Parameters
     ----------
     cost_s : float
-        Until the server is expected to answer, with a penalty for penalty, in seconds.
+        Until the server is expected to answer, with a penalty for failures, in seconds.
     objective_left_s : float
         Until the latency objective is missed, in seconds.
     """
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -291,19 +291,17 @@
         now_s = self._clock.read_monotonic_s()
         value = answer.find_header(call.names.load)
         report = call.names.parse_load(value) if value is not None else None
-        is_not_run = call.is_not_run(answer.status, answer.headers)
-        if is_not_run:
+        if call.is_not_run(answer.status, answer.headers):
             server.record_rejection()
-        if report is not None and is_not_run:
-            server.record_report(report, now_s)
-        elif report is not None:
-            server.record_answer_report(report, now_s)
-        if is_not_run:
+            if report is not None:
+                server.record_report(report, now_s)
             if answer.status == STATUS_MISDIRECTED:
                 server.record_unreachable(now_s)
             elif not is_near_capacity(server):
                 server.record_soft_failure(now_s)
             return SendResult(SendOutcome.NOT_RUN, answer)
+        if report is not None:
+            server.record_answer_report(report, now_s)
         self._crash_tracker.mark_answered(call.digest)
         is_success = STATUS_SUCCESS_MIN <= answer.status <= STATUS_SUCCESS_MAX
         if is_success and answer.find_header(call.names.signature) is None:
