--- a/packages/cardamomtack/src/cardamomtack/placing/slowdown.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/slowdown.py
@@ -2,7 +2,7 @@
 
 This module handles servers on shared machines, of which nobody knows whether a request
 keeps the speed with which it began, and whether a server that is nearly full slows
-down. Both decide which of two servers answers first, so both are measured.
+down. Both decide which of two servers answers first, so both are learnt.
 """
 
 from __future__ import annotations
