Probe a server that has failed lately before each send

Traced to: the connection of a rejected request also counts its server among those that have just answered. With the other two servers full by their own count (their answers tell no load), the rejecting one was taken without a probe, though samples put it last.

Ruled out: load (it failed on the calmer machine and passed on the busy one).

--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -16,6 +16,7 @@
     FAILURE_HALF_LIFE_S,
     FAILURE_SHARE_AGE_S_MAX,
     PROBE_TIMEOUT_EJECTION_S,
+    PROBED_LAST_FAILURE_SHARE,
     REPORT_AGE_S_MAX,
     REPORT_FRESH_S_MAX,
     USUAL_GAIN,
@@ -333,12 +334,16 @@
         self._answered.append(server)
 
     def list_fresh(self, now_s: float) -> list[ServerView]:
-        """Return the servers that need no probe, those that told last first."""
+        """Return the servers that need no probe, those that told last first.
+
+        One that has failed or rejected requests lately is not among them.
+        """
         fresh: list[ServerView] = []
         for server in reversed(self._answered):
             if not server.has_report_within(REPORT_FRESH_S_MAX, now_s):
                 break
-            if server.is_usable(now_s):
+            failures = self.estimate_excess_failures(server, now_s)
+            if server.is_usable(now_s) and failures <= PROBED_LAST_FAILURE_SHARE:
                 fresh.append(server)
         return fresh
 
--- a/tests/cardamomtack/placing/test_decisions.py
+++ b/tests/cardamomtack/placing/test_decisions.py
@@ -154,6 +154,15 @@
         server.record_unreachable(0.0)
         self.assertEqual(service.list_fresh(0.0), [])
 
+    def test_not_where_the_server_rejects_requests(self):
+        server, other = make_server("rejecting"), make_server("other")
+        service = make_service(server, other)
+        for one in (server, other):
+            one.record_report(LoadReport(1, 0, 6), 0.0)
+            service.add_answered(one)
+        server.record_soft_failure(0.0)
+        self.assertEqual(service.list_fresh(0.0), [other])
+
     def test_not_where_the_answer_told_no_load(self):
         server = make_server()
         service = make_service(server)
