--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -186,7 +186,7 @@
         self.sent_since_report += 1
 
     def record_rejection(self) -> None:
-        """Count out a request that the server has not run."""
+        """Stop counting a request that the server has rejected."""
         self.sent_since_report = max(0, self.sent_since_report - 1)
 
     def record_end(self) -> None:
@@ -330,7 +330,7 @@
         return self._split[1] if is_own_zone else self._split[2]
 
     def add_answered(self, server: ServerView) -> None:
-        """Record a server whose answer has just told its load."""
+        """Record a server at which a request has just ended."""
         self._answered.append(server)
 
     def list_fresh(self, now_s: float) -> list[ServerView]:
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
@@ -330,18 +330,18 @@
         for view in self.service.list_fresh(now_s):
             if self._is_enough(view, call, now_s):
                 return view
-        asked: list[ServerView] = []
+        probed: list[ServerView] = []
         for is_own_zone in (True, False):
             for view in self._sample(call, is_own_zone, now_s):
                 if not self._ask(view, now_s):
                     return self._choose_unasked(call, now_s)
-                asked.append(view)
+                probed.append(view)
                 if self._is_enough(view, call, now_s):
                     return view
-        with_room = [view for view in asked if not is_near_capacity(view)]
+        with_capacity = [view for view in probed if not is_near_capacity(view)]
         work_s = self._estimate_work_s(call)
         return self._chooser.choose_server(
-            self.service, with_room or asked, work_s, now_s
+            self.service, with_capacity or probed, work_s, now_s
         )
 
     def _sample(
