Log the limits that servers name

Callers saw nothing: each request was answered, but two servers got far more than they had asked for, and our logs could not tell whether a VM had heard of the limit.

A VM now keeps what each server said last of the requests that it takes from all VMs together, logs a line when that changes or ends, and names the limit in the record of each send. An answer without a limit ends it only if its request was sent after the limit was heard; a health check only where checks have named it before. Nothing is decided by it yet.

--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits that backend servers name for all VMs together."""
--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -122,6 +122,11 @@
         """Return the id of the server."""
         return self.entry.server_id
 
+    @property
+    def key(self) -> str:
+        """Return what names this incarnation of the server among all VMs."""
+        return f"{self.entry.server_id}/{self.entry.incarnation}"
+
     @property
     def address(self) -> str:
         """Return the IP address."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -14,11 +14,15 @@
 from cardamomtack_daemon.forwarding.const import ANSWER_BUFFER_BYTES_MAX
 from cardamomtack_daemon.forwarding.outcome import AnswerRest, SendOutcome, SendResult
 from cardamomtack_daemon.forwarding.prober import ProbedServer, ServerProber
+from cardamomtack_daemon.forwarding.shared_limits import SharedLimits
 from cardamomtack_daemon.http1.body import BodyAbortedError
 from cardamomtack_daemon.http1.client import BrokenAnswerError, ServerConnection
 from cardamomtack_daemon.http1.messages import HttpAnswer
 from cardamomtack_daemon.pool import ConnectionPool
 
+NO_RATE_LIMIT = -1.0
+"""What the log says of an answer that names no limit."""
+
 STATUS_FAILURE_MIN = 500
 STATUS_GATEWAY_TIMEOUT = 504
 STATUS_SUCCESS_MAX = 299
@@ -49,6 +53,8 @@
         Whether the rest of a long answer is still arriving.
     record : SendRecord
         What the log will tell of it.
+    sent_at_s : float
+        Monotonic time at which the request began to leave, in seconds.
     started_s : float
         Monotonic time at which the request had left, in seconds.
     """
@@ -62,6 +68,7 @@
         "estimate_s",
         "is_streaming",
         "record",
+        "sent_at_s",
         "server",
         "started_s",
     )
@@ -80,6 +87,7 @@
         self.connection = probed.connection
         self.estimate_s = call.estimate_s or work_s
         self.is_streaming = False
+        self.sent_at_s = 0.0
         self.started_s = 0.0
         self.server = probed.server
         load = self.server.report.describe() if self.server.report is not None else ""
@@ -93,7 +101,8 @@
         timeout_s : float
             How long to wait for the answer, in seconds.
         """
-        self.started_s = self._sender.read_now_s()
+        self.sent_at_s = self._sender.read_now_s()
+        self.started_s = self.sent_at_s
         self._has_begun = True
         self._sender.begin(self)
         call = self.call
@@ -190,6 +199,8 @@
     report_crash : callable
         Tells the other VMs of a crash: the server's incarnation, and the digests of
         the requests that it was running for this VM.
+    limits : SharedLimits
+        Hears the limits of servers.
     clock : Clock
         Tells the time.
     """
@@ -199,6 +210,7 @@
         "_connections",
         "_crash_tracker",
         "_digests",
+        "_limits",
         "_pool",
         "_prober",
         "_release_connection",
@@ -212,8 +224,10 @@
         crash_tracker: CrashTracker,
         release_connection: Callable[[ServerView, ServerConnection], None],
         report_crash: Callable[[str, list[bytes]], None],
+        limits: SharedLimits,
         clock: Clock,
     ) -> None:
+        self._limits = limits
         self._prober = prober
         self._clock = clock
         self._connections: set[ServerConnection] = set()
@@ -274,6 +288,9 @@
     def judge(self, send: ServerSend, answer: HttpAnswer) -> SendResult:
         """Return what an answer says of its request and its server."""
         result = self._judge(send.call, send.server, answer)
+        if answer.status != STATUS_MISDIRECTED:
+            rate = self._limits.record_answer(send.server, answer, send.sent_at_s)
+            send.record.rate_limit = rate if rate is not None else NO_RATE_LIMIT
         if not answer.is_whole and result.answer is not None:
             result.rest = AnswerRest(
                 self._release_connection,
@@ -326,5 +343,4 @@
         self._pool.close_connections(server.vm_id)
         suspects = self._crash_tracker.filter_suspects(suspects)
         if suspects:
-            incarnation = f"{server.vm_id}/{server.entry.incarnation}"
-            self._report_crash(incarnation, suspects)
+            self._report_crash(server.key, suspects)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -47,6 +47,7 @@
 from cardamomtack_daemon.forwarding.prober import ServerProber
 from cardamomtack_daemon.forwarding.readiness import ReadinessHandler
 from cardamomtack_daemon.forwarding.settings import EntrySettings
+from cardamomtack_daemon.forwarding.shared_limits import SharedLimits
 from cardamomtack_daemon.forwarding.suspension import async_watch_clock
 from cardamomtack_daemon.http1.body import BodyMemory
 from cardamomtack_daemon.http1.connection import ConnectionLimits
@@ -202,7 +203,8 @@
         clock = self._clock
         self.memory = BodyMemory(settings.body_memory_bytes)
         chooser = PlacementChooser(random, settings.availability_zone)
-        self._prober = ServerProber(self._pool, names, clock)
+        limits = SharedLimits(names, clock)
+        self._prober = ServerProber(self._pool, names, limits, clock)
         placer = Placer(self._registry, chooser, self._prober, self._pool, clock)
         self._sender = RequestSender(
             self._pool,
@@ -210,6 +212,7 @@
             self._crash_tracker,
             placer.release_connection,
             self._report_crash,
+            limits,
             clock,
         )
         self._forwarder = Forwarder(
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/header_names.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/header_names.py
@@ -28,8 +28,13 @@
         The load of the server.
     server_id : bytes
         Id of the server, on answers to health checks.
+    rate_limit : bytes
+        Requests a second that the server takes from all VMs together.
     parse_load : callable
         Returns the report of a load header, or None when it can't be read.
+    parse_rate_limit : callable
+        Returns the limit of a header, in requests a second, or None when it can't be
+        read.
     """
 
     request_id: bytes
@@ -39,4 +44,6 @@
     not_run: bytes
     load: bytes
     server_id: bytes
+    rate_limit: bytes
     parse_load: Callable[[bytes], LoadReport | None]
+    parse_rate_limit: Callable[[bytes], float | None]
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
@@ -17,6 +17,7 @@
     LOAD_PROBE_TURN_S,
 )
 from cardamomtack_daemon.forwarding.header_names import HeaderNames
+from cardamomtack_daemon.forwarding.shared_limits import SharedLimits
 from cardamomtack_daemon.http1.client import BrokenAnswerError, ServerConnection
 from cardamomtack_daemon.http1.messages import HeaderList, HttpAnswer, find_field
 from cardamomtack_daemon.pool import (
@@ -88,6 +89,8 @@
         Connections to servers.
     names : HeaderNames
         Names of header fields.
+    limits : SharedLimits
+        Hears the limits of servers.
     clock : Clock
         Tells the time.
 
@@ -101,9 +104,24 @@
         Bounds the health checks.
     """
 
-    __slots__ = ("_clock", "_names", "_pool", "health_paths", "limiter", "probes_sent")
-
-    def __init__(self, pool: ConnectionPool, names: HeaderNames, clock: Clock) -> None:
+    __slots__ = (
+        "_clock",
+        "_limits",
+        "_names",
+        "_pool",
+        "health_paths",
+        "limiter",
+        "probes_sent",
+    )
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        names: HeaderNames,
+        limits: SharedLimits,
+        clock: Clock,
+    ) -> None:
+        self._limits = limits
         self._clock = clock
         self.limiter = ProbeLimiter()
         self._names = names
@@ -239,6 +257,7 @@
         BrokenAnswerError
             When the answer is cut or malformed.
         """
+        sent_at_s = self._clock.read_monotonic_s()
         self._send_check(server, connection)
         answer = await connection.async_receive(CHECK_BYTES_MAX)
         if answer is None:
@@ -246,6 +265,7 @@
         if self._is_another(server, answer):
             server.record_unreachable(self._clock.read_monotonic_s())
             return False
+        self._limits.record_check(server, answer, sent_at_s)
         self._record_load(service, server, answer)
         if answer.status != STATUS_OK:
             server.record_failure(self._clock.read_monotonic_s())
--- /dev/null
+++ b/tests/cardamomtack/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits that servers name."""
--- a/tests/cardamomtack_daemon/forwarding/case.py
+++ b/tests/cardamomtack_daemon/forwarding/case.py
@@ -50,7 +50,9 @@
     not_run=b"test-not-run",
     load=b"test-load",
     server_id=b"test-server",
+    rate_limit=b"test-limit",
     parse_load=parse_load,
+    parse_rate_limit=float,
 )
 
 
--- a/tests/cardamomtack_platform/test_translation.py
+++ b/tests/cardamomtack_platform/test_translation.py
@@ -14,7 +14,7 @@
 from cardamomtack.routing.policy import Repeatability
 from cardamomtack_platform.configuration import parse_configuration
 from cardamomtack_platform.entries import parse_entry
-from cardamomtack_platform.headers import parse_load
+from cardamomtack_platform.headers import parse_load, parse_rate_limit
 from cardamomtack_platform.settings import PlatformSettings, parse_settings
 
 ENTRY = {
@@ -325,5 +325,19 @@
         self.assertIsInstance(parse_settings(text, "boot.conf"), list)
 
 
+class RateLimitTest(unittest.TestCase):
+    """The limit that a server names in its answers."""
+
+    def test_decimal_numbers(self):
+        for text, rate in ((b"1.8", 1.8), (b"12", 12.0), (b"0.25", 0.25), (b"0", 0.0)):
+            with self.subTest(text=text):
+                self.assertEqual(parse_rate_limit(text), rate)
+
+    def test_what_is_no_limit(self):
+        for text in (b"", b"fast", b"-1", b"nan", b"inf", b"1,8", b"1.8/s"):
+            with self.subTest(text=text):
+                self.assertIsNone(parse_rate_limit(text))
+
+
 if __name__ == "__main__":
     unittest.main()
