Keep the limit of a server over all VMs together

What callers saw: nothing, until a server in need breaks down under what it gets.

Cause: no VM read the limit. Class of fault: a promise of the whole fleet that each VM keeps alone, or not at all.

Now what one VM hears, all are told over the relay streams, with its age, so that an older statement does not undo a newer one. Every VM works out the same shares from the VMs and limits that all know, so nothing is asked before a send: a limit is dealt to few VMs, half a request a second or more to each, those in the zone of the server first. While a server has a limit the VMs send heartbeats; those that hear one another use the part that is theirs by their number, and leave the rest to those that are silent, which may only be cut off. A VM without callers, or silent for long, is passed over. A VM that has just started sends nothing to such a server before it knows the others. Other servers are taken first; where each has reached a limit, a caller hears at once that its request has not run, and when its turn comes.

--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/limits/coordinator.py
@@ -0,0 +1,140 @@
+"""Keeps the limits of servers over all VMs together.
+
+This module handles servers that name a limit while VMs join, leave, freeze, restart and
+are cut off from one another. What one VM hears, all are told; each then works out its
+own share from what all know.
+"""
+
+from __future__ import annotations
+
+from cardamomtack.discovery.registry import ServerRegistry
+from cardamomtack.helpers.clock import Clock
+from cardamomtack.limits.allowance import SendAllowance
+from cardamomtack.limits.const import IDLE_AFTER_S, TRIAL_RATE_PER_S
+from cardamomtack.limits.presence import PresenceTable, compute_heartbeat_s
+from cardamomtack.limits.shares import deal_shares
+from cardamomtack.limits.statements import LimitStatements
+from cardamomtack.placing.server import ServerView
+from cardamomtack.replicas.members import MemberTable
+
+
+class LimitCoordinator:
+    """Gives each server that has a limit this VM's share of it.
+
+    Parameters
+    ----------
+    members : MemberTable
+        The VMs.
+    registry : ServerRegistry
+        The servers.
+    clock : Clock
+        Tells the time.
+
+    Attributes
+    ----------
+    has_joined : bool
+        Whether the other VMs are known; nothing is sent to servers with a limit before.
+    is_leaving : bool
+        Whether this VM leaves its shares to the others.
+    presence : PresenceTable
+        Which VMs are heard.
+    statements : LimitStatements
+        What servers have said.
+    """
+
+    __slots__ = (
+        "_beat_at_s",
+        "_clock",
+        "_limited",
+        "_members",
+        "_registry",
+        "_requested_at_s",
+        "has_joined",
+        "is_leaving",
+        "presence",
+        "statements",
+    )
+
+    def __init__(
+        self, members: MemberTable, registry: ServerRegistry, clock: Clock
+    ) -> None:
+        self._beat_at_s: float | None = None
+        self._clock = clock
+        self._limited: list[ServerView] = []
+        self._members = members
+        self._registry = registry
+        self._requested_at_s = clock.read_monotonic_s()
+        self.has_joined = False
+        self.is_leaving = False
+        self.presence = PresenceTable()
+        self.statements = LimitStatements()
+
+    def record_request(self, now_s: float) -> bool:
+        """Record a request of a caller; return whether this VM is no longer idle."""
+        self._requested_at_s = now_s
+        return self.presence.is_idle
+
+    def is_heartbeat_due(self, now_s: float) -> bool:
+        """Return whether the other VMs are to hear of this one, and count it as done.
+
+        Heartbeats are only sent while a server has a limit.
+        """
+        if not self.statements.has_limits:
+            self._beat_at_s = None
+            return False
+        is_idle = now_s - self._requested_at_s > IDLE_AFTER_S
+        is_due = is_idle != self.presence.is_idle or self._beat_at_s is None
+        self.presence.is_idle = is_idle
+        interval_s = compute_heartbeat_s(self._members.count)
+        if self._beat_at_s is not None and now_s - self._beat_at_s >= interval_s:
+            is_due = True
+        if is_due:
+            self._beat_at_s = now_s
+        return is_due
+
+    def share_limits(self) -> None:
+        """Work out this VM's shares from what is known now."""
+        now_s = self._clock.read_monotonic_s()
+        self._drop_old(now_s)
+        limits = self._list_limits()
+        for server in self._limited:
+            if server not in limits:
+                server.allowance = None
+        self._limited = list(limits)
+        if not limits:
+            self.presence.clear()
+            return
+        own, *others = self._members.list_members()
+        presence = self.presence.survey(own, others, now_s)
+        for server, limit_per_s in limits.items():
+            rate_per_s = max(limit_per_s, TRIAL_RATE_PER_S) * presence.heard_share
+            shares = deal_shares(
+                server.key,
+                server.entry.availability_zone,
+                rate_per_s,
+                presence.candidates,
+            )
+            share_per_s = shares.get(own.vm_id, 0.0)
+            if self.is_leaving or not self.has_joined:
+                share_per_s = 0.0
+            if server.allowance is None:
+                server.allowance = SendAllowance(now_s)
+            server.allowance.apply_share(share_per_s, rate_per_s, now_s)
+
+    def _list_limits(self) -> dict[ServerView, float]:
+        """Return the servers that have a limit, and the limit, in requests a second."""
+        limits: dict[ServerView, float] = {}
+        for statement in self.statements.list_statements():
+            server_id = statement.server_key.rpartition("/")[0]
+            server = self._registry.servers.get(server_id)
+            if server is None or server.key != statement.server_key:
+                continue
+            if statement.rate_per_s is not None:
+                limits[server] = statement.rate_per_s
+        return limits
+
+    def _drop_old(self, now_s: float) -> None:
+        """Forget what was said by servers that are gone."""
+        if self.statements.list_statements():
+            known = {server.key for server in self._registry.servers.values()}
+            self.statements.drop_old(known, now_s)
--- a/packages/cardamomtack/src/cardamomtack/placing/chooser.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/chooser.py
@@ -132,14 +132,16 @@
         )
         return sample
 
-    def sample_ejected(self, service: ServiceView, tried: set[str]) -> list[ServerView]:
+    def sample_ejected(
+        self, service: ServiceView, tried: set[str], now_s: float
+    ) -> list[ServerView]:
         """Return a few ejected servers, when no other is left."""
         ejected = [
             server
             for server in service.members
             if server.entry.server_id not in tried
-            and not server.entry.is_draining
-            and not server.is_removed
+            and server.may_stay
+            and server.is_within_limit(now_s)
         ]
         if len(ejected) <= PROBED_MAX:
             return ejected
--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -8,6 +8,7 @@
 from statistics import median_low
 
 from cardamomtack.discovery.entry import ServerEntry
+from cardamomtack.limits.allowance import SendAllowance
 from cardamomtack.placing.const import (
     EJECTION_FAILURES,
     EJECTION_S_MAX,
@@ -69,6 +70,8 @@
 
     Attributes
     ----------
+    allowance : SendAllowance or None
+        What this VM may send while the server has a limit; None without one.
     in_flight : int
         Requests of this VM that the server has not answered.
     sent_since_report : int
@@ -84,6 +87,7 @@
         "_probe_timeouts",
         "_reported_at_s",
         "_warm_at_s",
+        "allowance",
         "ejected_until_s",
         "entry",
         "in_flight",
@@ -105,6 +109,7 @@
         self._reported_at_s = -inf
         self._probe_timeouts = 0
         self._warm_at_s = now_s + entry.warm_up_left_s
+        self.allowance: SendAllowance | None = None
         self.ejected_until_s = 0.0
         self.entry = entry
         self.in_flight = 0
@@ -155,9 +160,27 @@
 
     def is_usable(self, now_s: float) -> bool:
         """Return whether the server may get new work."""
-        if self.is_removed or self.entry.is_draining:
+        if not self.may_stay or self.ejected_until_s > now_s:
             return False
-        return self.ejected_until_s <= now_s
+        return self.is_within_limit(now_s)
+
+    @property
+    def may_stay(self) -> bool:
+        """Return whether the server neither leaves nor has left."""
+        return not self.is_removed and not self.entry.is_draining
+
+    def is_within_limit(self, now_s: float) -> bool:
+        """Return whether one more request of this VM is within the server's limit."""
+        return self.allowance is None or self.allowance.can_spend(now_s)
+
+    def reserve_send(self, now_s: float) -> bool:
+        """Return whether a request may be sent, and count it against the limit."""
+        return self.allowance is None or self.allowance.spend(now_s)
+
+    def release_send(self) -> None:
+        """Give back what was counted for a request that was not sent."""
+        if self.allowance is not None:
+            self.allowance.refund()
 
     def is_warming(self, now_s: float) -> bool:
         """Return whether the server is still slow after its start."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -238,7 +238,8 @@
         self._release_connection = release_connection
 
     def release_unused(self, probed: ProbedServer) -> None:
-        """Give back the connection of a server that gets nothing after all."""
+        """Give back what was taken for a send that is not made after all."""
+        probed.server.release_send()
         self._pool.release(probed.server, probed.connection)
 
     def expire_all(self) -> None:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -16,8 +16,14 @@
 
 from cardamomtack.discovery.coordinator import DiscoveryCoordinator, EntryCodec
 from cardamomtack.discovery.registry import ServerRegistry
-from cardamomtack.generated.relay import CrashNotice, Member
+from cardamomtack.generated.relay import (
+    CrashNotice,
+    Member,
+    ServerLimit,
+    VmHeartbeat,
+)
 from cardamomtack.helpers.clock import MS_PER_S, Clock
+from cardamomtack.limits.coordinator import LimitCoordinator
 from cardamomtack.placing.chooser import PlacementChooser
 from cardamomtack.placing.server import ServerView
 from cardamomtack.quarantine.tracker import CrashTracker
@@ -109,6 +115,7 @@
     """
 
     __slots__ = (
+        "_caller_limits",
         "_callers",
         "_clock",
         "_crash_tracker",
@@ -156,11 +163,15 @@
         self._registry.add_listener(self._drop_connections)
         self._routes = PrefixRoutes(random)
         self._routes.add_listener(self._apply_configuration)
-        self._build_replicas(codec, sources, random)
+        self._build_replicas(codec, sources, names, random)
         self._build_traffic(names, random)
 
     def _build_replicas(
-        self, codec: RecordCodec, sources: StoreSources, random: Random
+        self,
+        codec: RecordCodec,
+        sources: StoreSources,
+        names: HeaderNames,
+        random: Random,
     ) -> None:
         """Build what follows the store and the other VMs."""
         settings = self._settings
@@ -180,13 +191,18 @@
         servers.add_listener(DiscoveryCoordinator(codec, self._registry).apply_records)
         servers.add_listener(lambda _: self._share_budgets())
         self._members = MemberTable(own)
+        self._limits = SharedLimits(
+            own,
+            LimitCoordinator(self._members, self._registry, clock),
+            names,
+            self,
+            clock,
+        )
         self._membership = MembershipRegistration(
             self._members, sources.members, random
         )
         self._replicas = [configuration, servers]
-        self._relay = TopicRelay(
-            self._members, self._replicas, self._apply_crash, clock
-        )
+        self._relay = TopicRelay(self._members, self._replicas, self, clock)
         self._readers = [
             TopicReader(
                 replica, source, self._is_reader, self._record_answer, clock, random
@@ -203,8 +219,7 @@
         clock = self._clock
         self.memory = BodyMemory(settings.body_memory_bytes)
         chooser = PlacementChooser(random, settings.availability_zone)
-        limits = SharedLimits(names, clock)
-        self._prober = ServerProber(self._pool, names, limits, clock)
+        self._prober = ServerProber(self._pool, names, self._limits, clock)
         placer = Placer(self._registry, chooser, self._prober, self._pool, clock)
         self._sender = RequestSender(
             self._pool,
@@ -212,7 +227,7 @@
             self._crash_tracker,
             placer.release_connection,
             self._report_crash,
-            limits,
+            self._limits,
             clock,
         )
         self._forwarder = Forwarder(
@@ -224,18 +239,19 @@
             self._crash_tracker,
             clock,
             random,
+            self._limits,
             DecisionLog(self._writer, clock),
             self.memory,
             self._read_servers_age_ms,
         )
-        self._limits = ConnectionLimits(
+        self._caller_limits = ConnectionLimits(
             BODY_BYTES_MAX,
             CALLER_CONNECTIONS_MAX,
             IDLE_S,
             cancels_abandoned=True,
             memory=self.memory,
         )
-        self._callers = CallerServer(self._forwarder, self._limits, clock)
+        self._callers = CallerServer(self._forwarder, self._caller_limits, clock)
         readiness_limits = ConnectionLimits(0, READINESS_CONNECTIONS_MAX, IDLE_S)
         handler = ReadinessHandler(self.is_ready)
         self._readiness = CallerServer(handler, readiness_limits, clock)
@@ -322,6 +338,7 @@
         """Serve on until the balancer has noticed, and finish what is in flight."""
         self._is_leaving = True
         self._callers.is_closing = True
+        self._limits.leave()
         self._relay.broadcast_leaving()
         await self._membership.async_leave()
         with move_on_after(self._settings.grace_s - EXIT_MARGIN_S):
@@ -340,10 +357,10 @@
         """Apply a new configuration."""
         limits = configuration.limits
         if limits is not None:
-            self._limits.body_bytes_max = limits.body_bytes_max
-            self._limits.head_bytes_max = limits.header_bytes_max
-            self._limits.head_s = limits.header_timeout_s + HEAD_MARGIN_S
-            self._limits.idle_s = limits.idle_timeout_s + IDLE_MARGIN_S
+            self._caller_limits.body_bytes_max = limits.body_bytes_max
+            self._caller_limits.head_bytes_max = limits.header_bytes_max
+            self._caller_limits.head_s = limits.header_timeout_s + HEAD_MARGIN_S
+            self._caller_limits.idle_s = limits.idle_timeout_s + IDLE_MARGIN_S
         self._prober.health_paths = {
             name: service.health_path.encode()
             for name, service in configuration.services.items()
@@ -381,6 +398,7 @@
         self._prober.limiter.apply_bounds(
             self._settings.checks_per_server_per_s, len(self._registry.servers), vms
         )
+        self._limits.share(self._membership.has_joined)
 
     def _report_crash(self, server_id: str, digests: list[bytes]) -> None:
         """Notify all VMs of a crash, this one included."""
@@ -395,6 +413,26 @@
         else:
             self._members.mark_unreachable(own_id, self._clock.read_monotonic_s())
 
-    def _apply_crash(self, notice: CrashNotice) -> None:
+    def broadcast_limits(self, limits: list[ServerLimit]) -> None:
+        """Tell all VMs of limits of servers that this VM has heard."""
+        self._relay.broadcast_limits(limits)
+
+    def broadcast_heartbeat(self, heartbeat: VmHeartbeat) -> None:
+        """Tell all VMs that this one is there."""
+        self._relay.broadcast_heartbeat(heartbeat)
+
+    def apply_crash(self, notice: CrashNotice) -> None:
         """Handle the notice of a crash of a server."""
         self._crash_tracker.record_crash(notice.server_id, notice.request_digests)
+
+    def apply_limits(self, limits: list[ServerLimit]) -> list[ServerLimit]:
+        """Apply limits of servers, and return those that are news."""
+        return self._limits.apply_limits(limits)
+
+    def apply_heartbeat(self, heartbeat: VmHeartbeat) -> bool:
+        """Apply the heartbeat of a VM, and return whether it is news."""
+        return self._limits.apply_heartbeat(heartbeat)
+
+    def list_limits(self) -> list[ServerLimit]:
+        """Return what is known of limits of servers."""
+        return self._limits.list_limits()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -10,6 +10,7 @@
 
 from cardamomtack.generated.logs import RequestDecision
 from cardamomtack.helpers.clock import MS_PER_S, Clock
+from cardamomtack.limits.returns import ReturnSchedule
 from cardamomtack.placing.admission import (
     CallerTimes,
     choose_prompt_retry_after_s,
@@ -30,6 +31,7 @@
 from cardamomtack_daemon.forwarding.outcome import SendOutcome, SendResult
 from cardamomtack_daemon.forwarding.placer import Placer
 from cardamomtack_daemon.forwarding.settings import EntrySettings
+from cardamomtack_daemon.forwarding.shared_limits import SharedLimits
 from cardamomtack_daemon.http1.body import BODY_WINDOW_BYTES, BodyMemory
 from cardamomtack_daemon.http1.messages import HttpAnswer, HttpRequest
 from cardamomtack_daemon.http1.problems import (
@@ -73,6 +75,8 @@
         Tells the time.
     random : Random
         Spreads callers that come back.
+    limits : SharedLimits
+        Counts callers, for the shares of limits.
     decisions : DecisionLog
         Takes how requests ended.
     memory : BodyMemory
@@ -99,12 +103,14 @@
         "_crash_tracker",
         "_decisions",
         "_hedged",
+        "_limits",
         "_memory",
         "_names",
         "_placer",
         "_random",
         "_read_servers_age_ms",
         "_refused_at_s",
+        "_returns",
         "_routes",
         "_sender",
         "in_flight",
@@ -123,6 +129,7 @@
         crash_tracker: CrashTracker,
         clock: Clock,
         random: Random,
+        limits: SharedLimits,
         decisions: DecisionLog,
         memory: BodyMemory,
         read_servers_age_ms: Callable[[], int],
@@ -133,6 +140,8 @@
         # Callers of before a start may come back to this VM.
         self._refused_at_s = clock.read_monotonic_s()
         self._budgets: dict[str, RetryBudget] = {}
+        self._limits = limits
+        self._returns: dict[str, ReturnSchedule] = {}
         self._clock = clock
         self._crash_tracker = crash_tracker
         self._names = names
@@ -162,6 +171,7 @@
 
     async def _async_route(self, request: HttpRequest) -> Handled:
         """Find the route of a request and answer it."""
+        self._limits.record_request()
         call = self._open_call(request)
         if not isinstance(call, ForwardedCall):
             return call, None
@@ -287,7 +297,7 @@
         while True:
             probed = await self._placer.async_place(call)
             if probed is None:
-                return self._finish(call, result, "no server can answer in time")
+                return self._finish_unplaced(call, result)
             if result is not None and not budget.spend_send(
                 self._clock.read_monotonic_s(),
                 choose_budget_share(call.route.priority),
@@ -300,6 +310,25 @@
             if not self._may_send_again(call, result):
                 return self._finish(call, result, result.outcome.value, had_capacity)
 
+    def _finish_unplaced(
+        self, call: ForwardedCall, result: SendResult | None
+    ) -> tuple[Handled, str]:
+        """Return the final answer of a call that no server takes, and the reason."""
+        limits = self._placer.find_limits(call)
+        if limits is None or result is not None:
+            return self._finish(call, result, "no server can answer in time")
+        reason = "servers have reached their limits"
+        now_s = self._clock.read_monotonic_s()
+        schedule = self._returns.setdefault(call.service, ReturnSchedule())
+        retry_after_s = schedule.choose_retry_after_s(
+            limits.wait_s,
+            limits.rate_per_s / self.vms,
+            call.leaves_at_s - now_s,
+            now_s,
+        )
+        self._refused_at_s = now_s
+        return (_write_refusal(reason, retry_after_s), None), reason
+
     def _may_send_again(self, call: ForwardedCall, result: SendResult) -> bool:
         """Return whether a call may be sent to another server."""
         if result.outcome in (SendOutcome.ANSWERED, SendOutcome.OVERDUE):
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from math import inf
+
 from cardamomtack.discovery.registry import ServerRegistry
 from cardamomtack.helpers.clock import Clock
 from cardamomtack.placing.admission import (
@@ -35,6 +38,22 @@
 )
 
 
+@dataclass(slots=True, frozen=True)
+class ServiceLimits:
+    """What the servers of a service take while each of them has reached a limit.
+
+    Attributes
+    ----------
+    wait_s : float
+        Until this VM may send again, in seconds; infinite where only others may.
+    rate_per_s : float
+        Requests a second that they take from all VMs together.
+    """
+
+    wait_s: float
+    rate_per_s: float
+
+
 class Placer:
     """Places requests on servers.
 
@@ -88,13 +107,45 @@
     ) -> ProbedServer | None:
         """Return a server and a connection to it, or None when none takes the call.
 
-        Nothing of the request has left when this returns.
+        Nothing of the request has left when this returns; it is counted against the
+        limit of its server.
 
         Parameters
         ----------
         may_wait : bool
             Whether the call may wait until a server has capacity for it.
         """
+        while self.find_limits(call) is None:
+            placed = await self._async_find(call, may_wait)
+            now_s = self._clock.read_monotonic_s()
+            if placed is None or placed.server.reserve_send(now_s):
+                return placed
+            # Another call has used what the server takes of this VM.
+            self._pool.release(placed.server, placed.connection)
+        return None
+
+    def find_limits(self, call: ForwardedCall) -> ServiceLimits | None:
+        """Return when servers take requests again, or None where some may take one.
+
+        Only limits count: servers that have no capacity or have failed are believed to
+        take a request, until they are probed.
+        """
+        now_s = self._clock.read_monotonic_s()
+        wait_s = inf
+        rate_per_s = 0.0
+        for server in self._registry.find_service(call.service).members:
+            if not server.may_stay or server.vm_id in call.tried:
+                continue
+            if server.is_within_limit(now_s) or server.allowance is None:
+                return None
+            wait_s = min(wait_s, server.allowance.compute_wait_s(now_s))
+            rate_per_s += server.allowance.fleet_rate_per_s
+        return ServiceLimits(wait_s, rate_per_s) if rate_per_s else None
+
+    async def _async_find(
+        self, call: ForwardedCall, may_wait: bool
+    ) -> ProbedServer | None:
+        """Return a server for a call, not counted yet, or None."""
         service = self._registry.find_service(call.service)
         if service.reports_load is False:
             return await self._async_place_unprobed(service, call)
@@ -175,7 +226,8 @@
                 break
         call.probes += len(probed)
         if not probed:
-            ejected = self._chooser.sample_ejected(service, call.tried)
+            now_s = self._clock.read_monotonic_s()
+            ejected = self._chooser.sample_ejected(service, call.tried, now_s)
             probed = await self._prober.async_probe(service, ejected)
         best = self._choose(probed, call)
         self._record_estimate(best.server if best is not None else None, call)
@@ -394,7 +446,7 @@
             servers = self._chooser.sample_servers(service, tried, True, now_s)
             servers += self._chooser.sample_servers(service, tried, False, now_s)
         if not servers and choices is None:
-            servers = self._chooser.sample_ejected(service, tried)
+            servers = self._chooser.sample_ejected(service, tried, now_s)
         assume_loads(service, servers, now_s)
         work_s = self.estimate_work_s(call)
         return self._chooser.choose_server(service, servers, work_s, now_s)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable
+from typing import Protocol
 
 from anyio import (
     TASK_STATUS_IGNORED,
@@ -29,10 +29,13 @@
     Member,
     Members,
     RelayMessage,
+    ServerLimit,
+    ServerLimits,
     Subscribe,
     TopicFreshness,
     TopicPosition,
     TopicRecords,
+    VmHeartbeat,
 )
 from cardamomtack.helpers.clock import MS_PER_S, Clock
 from cardamomtack.replicas.const import STALE_AFTER_S
@@ -60,6 +63,22 @@
 Outbox = MemoryObjectSendStream[bytes]
 
 
+class FleetListener(Protocol):
+    """Takes what other VMs tell of servers and of themselves."""
+
+    def apply_crash(self, notice: CrashNotice) -> None:
+        """Apply the notice of a crash that was not seen before."""
+
+    def apply_limits(self, limits: list[ServerLimit]) -> list[ServerLimit]:
+        """Apply limits of servers, and return those that are news."""
+
+    def apply_heartbeat(self, heartbeat: VmHeartbeat) -> bool:
+        """Apply the heartbeat of a VM, and return whether it is news."""
+
+    def list_limits(self) -> list[ServerLimit]:
+        """Return what a VM that was not heard of may have missed."""
+
+
 class TopicRelay:
     """Serves subscribers and hears from one upstream VM.
 
@@ -69,17 +88,17 @@
         The VMs.
     replicas : list of TopicReplica
         The topics that are passed on.
-    apply_crash : callable
-        Takes the notice of a crash.
+    listener : FleetListener
+        Takes what other VMs tell.
     clock : Clock
         Tells the time.
 
     """
 
     __slots__ = (
-        "_apply_crash",
         "_clock",
         "_confirmed",
+        "_listener",
         "_members",
         "_notices",
         "_replicas",
@@ -91,10 +110,10 @@
         self,
         members: MemberTable,
         replicas: list[TopicReplica],
-        apply_crash: Callable[[CrashNotice], None],
+        listener: FleetListener,
         clock: Clock,
     ) -> None:
-        self._apply_crash = apply_crash
+        self._listener = listener
         self._clock = clock
         self._confirmed = Event()
         self._members = members
@@ -110,6 +129,14 @@
         """Notify all VMs of a crash that this VM has seen."""
         self._forward_crash(notice, None)
 
+    def broadcast_limits(self, limits: list[ServerLimit]) -> None:
+        """Tell all VMs of limits of servers that this VM has heard."""
+        self._forward(RelayMessage(limits=ServerLimits(limits)), None)
+
+    def broadcast_heartbeat(self, heartbeat: VmHeartbeat) -> None:
+        """Tell all VMs that this one is there."""
+        self._forward(RelayMessage(heartbeat=heartbeat), None)
+
     def broadcast_leaving(self) -> None:
         """Notify all VMs that this one leaves."""
         own = self._members.own
@@ -263,6 +290,11 @@
             self._apply_members(message.members.members, source)
         if message.crash is not None:
             self._forward_crash(message.crash, source)
+        if message.limits is not None:
+            self._apply_limits(message.limits.limits, source)
+        heartbeat = message.heartbeat
+        if heartbeat is not None and self._listener.apply_heartbeat(heartbeat):
+            self._forward(message, source)
 
     def _apply_freshness(self, freshness: Freshness) -> None:
         """Apply what an upstream VM says of the age of its topics."""
@@ -278,6 +310,12 @@
         if new:
             self._forward(RelayMessage(members=Members(new)), source)
 
+    def _apply_limits(self, limits: list[ServerLimit], source: Outbox) -> None:
+        """Apply limits of servers and forward what is new."""
+        new = self._listener.apply_limits(limits)
+        if new:
+            self._forward(RelayMessage(limits=ServerLimits(new)), source)
+
     def _forward_crash(self, notice: CrashNotice, source: Outbox | None) -> None:
         """Handle the notice of a crash and forward it once."""
         if notice.notice_id in self._notices:
@@ -285,13 +323,17 @@
         self._notices[notice.notice_id] = notice
         if len(self._notices) > NOTICES_KEPT:
             self._notices.popitem(last=False)
-        self._apply_crash(notice)
+        self._listener.apply_crash(notice)
         self._forward(RelayMessage(crash=notice), source)
 
     def _send_notices(self, outbox: Outbox) -> None:
-        """Notify another VM of the crashes that it may have missed."""
+        """Tell another VM of the crashes and limits that it may have missed."""
         for notice in self._notices.values():
             outbox.send_nowait(encode_frame(RelayMessage(crash=notice)))
+        limits = self._listener.list_limits()
+        if limits:
+            message = RelayMessage(limits=ServerLimits(limits))
+            outbox.send_nowait(encode_frame(message))
 
     def _forward(self, message: RelayMessage, source: Outbox | None) -> None:
         """Send a message on all streams but the one on which it came."""
--- a/tests/cardamomtack_daemon/forwarding/test_named_limits.py
+++ b/tests/cardamomtack_daemon/forwarding/test_named_limits.py
@@ -106,6 +106,17 @@
             vm = self.vms[number]
             await vm.daemon.async_serve(vm.stopping)
 
+    async def async_restart(self, number: int) -> None:
+        """Kill a VM and start it again."""
+        old = self.vms[number]
+        self.scopes[number].cancel()
+        await anyio.sleep(0.3)
+        self.vms[number] = EntryVm(
+            old.settings.vm_id, self.store, zone=old.settings.availability_zone
+        )
+        self.scopes[number] = anyio.CancelScope()
+        self.tasks.start_soon(self.async_run_vm, number)
+
     async def async_call(self, seconds: float, calls_per_s: float) -> None:
         """Call at random VMs at a steady rate for some time."""
         ends_s = anyio.current_time() + seconds
@@ -157,6 +168,87 @@
 
         self.run_fleet(scenario)
 
+    def test_named_rate_is_used_where_all_servers_have_limits(self):
+        async def scenario(fleet):
+            for server in fleet.servers:
+                server.rate_per_s = 2.0
+            await fleet.async_call(4.0, 60.0)
+            fleet.answers.clear()
+            since_s = anyio.current_time()
+            await fleet.async_call(8.0, 60.0)
+            answered = sum(answer.status == 200 for answer in fleet.answers)
+            self.assertGreaterEqual(answered, 0.7 * 2.0 * len(fleet.servers) * 8.0)
+            for server in fleet.servers:
+                most = server.count_most(since_s, anyio.current_time())
+                self.assertLessEqual(most, count_allowed(2.0))
+            statuses = {answer.status for answer in fleet.answers}
+            self.assertEqual(statuses, {200, 503})
+
+        self.run_fleet(scenario)
+
+    def test_callers_that_no_server_may_take_hear_at_once_when_to_come_back(self):
+        async def scenario(fleet):
+            for server in fleet.servers:
+                server.rate_per_s = 0.5
+            await fleet.async_call(3.0, 60.0)
+            fleet.answers.clear()
+            ran = sum(len(server.ran) for server in fleet.servers)
+            await fleet.async_call(4.0, 60.0)
+            refused = [one for one in fleet.answers if one.status == 503]
+            self.assertGreater(len(refused), 100)
+            for answer in refused:
+                self.assertLess(answer.duration_s, 0.2)
+                self.assertGreater(float(answer.headers["retry-after"]), 0.0)
+            ran = sum(len(server.ran) for server in fleet.servers) - ran
+            self.assertEqual(ran, len(fleet.answers) - len(refused))
+
+        self.run_fleet(scenario)
+
+    def test_caller_that_comes_back_when_told_is_served(self):
+        async def scenario(fleet):
+            (server,) = fleet.servers
+            server.rate_per_s = 2.0
+            (vm,) = fleet.vms
+            await fleet.async_call(2.0, 30.0)
+            answer = await vm.async_call("book", "first", b"van")
+            while answer.status == 200:
+                answer = await vm.async_call("book", "other", b"van")
+            self.assertEqual(answer.status, 503)
+            await anyio.sleep(float(answer.headers["retry-after"]) + 0.01)
+            answer = await vm.async_call("book", "again", b"van")
+            self.assertEqual(answer.status, 200)
+
+        self.run_fleet(scenario, vms=1, servers=1)
+
+    def test_limit_that_ends_is_forgotten(self):
+        async def scenario(fleet):
+            limited = fleet.servers[0]
+            limited.rate_per_s = 2.0
+            await fleet.async_call(3.0, 60.0)
+            limited.rate_per_s = None
+            await fleet.async_call(3.0, 60.0)
+            ran = len(limited.ran)
+            await fleet.async_call(3.0, 60.0)
+            self.assertGreater(len(limited.ran) - ran, 20)
+
+        self.run_fleet(scenario)
+
+    def test_vm_that_starts_again_keeps_the_limit(self):
+        async def scenario(fleet):
+            limited = fleet.servers[0]
+            limited.rate_per_s = 1.0
+            await fleet.async_call(2.0, 60.0)
+            since_s = anyio.current_time()
+            async with anyio.create_task_group() as calls:
+                calls.start_soon(fleet.async_call, 8.0, 60.0)
+                for number in range(1, len(fleet.vms)):
+                    await fleet.async_restart(number)
+                    await anyio.sleep(1.0)
+            most = limited.count_most(since_s, anyio.current_time())
+            self.assertLessEqual(most, count_allowed(1.0))
+
+        self.run_fleet(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
