Take no answer without the request's id for a refusal of it

What callers saw: 503, 'not run', for a booking that a server was running, where the server wrote an earlier refusal once more on a kept connection and the copy bore no id; the server ran it all the same, and the caller sent it again. A second server could get it as well.

Cause: an answer without an id counted as the request's own when it said 'not run'. Class: a proof that is not tied to what it proves. And where a server broke such a copy off inside a line and then wrote the true answer, the parser made one head of both: the refusal's status with the true answer's id.

Now only an answer that echoes the id belongs to the request; others are passed over, and the true answer that follows is delivered. A head in which a line runs into another status line is malformed.

The stand-in's refusals in the tests bore no id, unlike those of the platform, whose servers echo it in all answers; they bear it now, and the tests' checks are as before.

--- a/packages/cardamomtack/src/cardamomtack/limits/shares.py
+++ b/packages/cardamomtack/src/cardamomtack/limits/shares.py
@@ -35,8 +35,9 @@
 ) -> dict[str, float]:
     """Return the part of a server's limit that each VM may use, in requests a second.
 
-    The VMs in the zone of the server come first, because they send to it first. The ranks of the VMs differ from server to server, and a VM that comes or
-    goes changes few of the others.
+    The VMs in the zone of the server come first, because they send to it first. The
+    ranks of the VMs differ from server to server, and a VM that comes or goes changes
+    few of the others.
 
     Parameters
     ----------
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
@@ -90,11 +90,11 @@
         return encode_chunk(part)
 
     def owns_answer(self, status: int, headers: HeaderList) -> bool:
-        """Return whether an answer belongs to this send."""
-        echoed = find_field(headers, self.names.request_id)
-        if echoed is not None:
-            return echoed == self.request_id
-        return self.is_not_run(status, headers)
+        """Return whether an answer belongs to this send, by the id that it echoes.
+
+        A refusal without an id may be one of before that a server writes once more.
+        """
+        return find_field(headers, self.names.request_id) == self.request_id
 
     def is_not_run(self, status: int, headers: HeaderList) -> bool:
         """Return whether an answer proves that the server did not run the request."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/collector.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/collector.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 
 from httptools import HttpResponseParser
@@ -11,6 +12,7 @@
 FOREIGN_BYTES_MAX = 1_048_576
 HEAD_BYTES_MAX = 65_536
 LINE_BYTES_MAX = 65_536
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]\b")
 """Most bytes that may bring no field, no part of a body and no end of an answer."""
 
 AnswerCheck = Callable[[int, HeaderList], bool]
@@ -36,6 +38,7 @@
         "_has_progress",
         "_head_bytes",
         "_is_foreign",
+        "_reason",
         "_stalled_bytes",
         "chunks",
         "foreign",
@@ -55,6 +58,7 @@
         self._head_bytes = 0
         self._stalled_bytes = 0
         self._is_foreign = False
+        self._reason = b""
         self.foreign = 0
         self.parser = HttpResponseParser(self)
         self.keep_alive = False
@@ -89,14 +93,22 @@
 
     def on_message_begin(self) -> None:
         """Note a second answer, which nobody asked for."""
+        self._reason = b""
         self.surplus = self.has_ended
 
+    def on_status(self, reason: bytes) -> None:
+        """Check the reason of the status line, which may come in parts."""
+        if not self.has_ended:
+            self._reason += reason
+            _check_line(self._reason)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field; fields after a body are only counted."""
         self._has_progress = True
         self._head_bytes += len(name) + len(value)
         if self.has_ended or self.has_head:
             return
+        _check_line(value)
         name = name.lower()
         if name in (b"content-length", b"transfer-encoding"):
             self.is_framed = True
@@ -135,3 +147,17 @@
             # The parser forgets this once the callback has returned.
             self.keep_alive = self.parser.should_keep_alive()
         self.has_ended = True
+
+
+def _check_line(text: bytes) -> None:
+    """Check that a line does not run into the status line of another answer.
+
+    A server that breaks off a head and writes the next answer makes one head of both.
+
+    Raises
+    ------
+    EndlessAnswerError
+        When it does.
+    """
+    if STATUS_LINE.search(text):
+        raise EndlessAnswerError("a line of the answer runs into another answer")
--- a/tests/cardamomtack_daemon/forwarding/servers.py
+++ b/tests/cardamomtack_daemon/forwarding/servers.py
@@ -84,11 +84,11 @@
     return f"HTTP/1.1 {status} X\r\n{head}\r\n".encode() + body
 
 
-def write_not_run(status: int = 503) -> bytes:
+def write_not_run(request: ServerRequest, status: int = 503) -> bytes:
     """Return the answer of a server that did not run a request."""
-    return (
-        f"HTTP/1.1 {status} X\r\ntest-not-run: 1\r\ncontent-length: 0\r\n\r\n".encode()
-    )
+    named = request.headers.get(b"test-id", b"").decode()
+    head = f"HTTP/1.1 {status} X\r\ntest-id: {named}\r\ntest-not-run: 1\r\n"
+    return f"{head}content-length: 0\r\n\r\n".encode()
 
 
 async def async_answer(
--- a/tests/cardamomtack_daemon/forwarding/test_answers.py
+++ b/tests/cardamomtack_daemon/forwarding/test_answers.py
@@ -131,13 +131,13 @@
 
     def test_refused_booking_goes_to_another_server_and_then_back(self):
         async def script(server, request, stream):
-            await stream.send(write_not_run())
+            await stream.send(write_not_run(request))
 
         self.count("book", script, 503, 2)
 
     def test_misdirected_booking_goes_to_another_server(self):
         async def script(server, request, stream):
-            await stream.send(write_not_run(421))
+            await stream.send(write_not_run(request, 421))
 
         self.count("book", script, 503, 2)
 
@@ -189,7 +189,7 @@
             await stream.aclose()
 
         async def refuse(server, request, stream):
-            await stream.send(write_not_run())
+            await stream.send(write_not_run(request))
 
         self.play_in_turn(lose, refuse, 502)
 
@@ -198,14 +198,14 @@
             await stream.send(write_answer(request, 500, b"no"))
 
         async def refuse(server, request, stream):
-            await stream.send(write_not_run())
+            await stream.send(write_not_run(request))
 
         self.play_in_turn(fail, refuse, 500, b"no")
 
     def test_one_attempt_is_one_send(self):
         async def scenario(vm, servers):
             async def script(server, request, stream):
-                await stream.send(write_not_run())
+                await stream.send(write_not_run(request))
 
             for server in servers:
                 server.script = script
--- a/tests/cardamomtack_daemon/forwarding/test_late.py
+++ b/tests/cardamomtack_daemon/forwarding/test_late.py
@@ -72,7 +72,7 @@
             await async_answer(server, request, stream)
 
         async def refuse(server, request, stream):
-            await stream.send(write_not_run())
+            await stream.send(write_not_run(request))
 
         async def fail(server, request, stream):
             await stream.send(write_answer(request, 500, b"no"))
@@ -121,7 +121,7 @@
 
     def test_few_requests_go_to_a_server_that_refuses_in_spite_of_room(self):
         async def refuse(server, request, stream):
-            await stream.send(write_not_run())
+            await stream.send(write_not_run(request))
 
         async def scenario(vm, servers):
             servers[0].script = refuse
--- a/tests/cardamomtack_daemon/forwarding/test_uploads.py
+++ b/tests/cardamomtack_daemon/forwarding/test_uploads.py
@@ -46,12 +46,12 @@
 async def async_refuse(server, request, stream):
     """Say that the request did not run, and take no more of it."""
     server.early_script = None
-    await stream.send(write_not_run())
+    await stream.send(write_not_run(request))
 
 
 async def async_refuse_whole(server, request, stream):
     """Say that a request that was read did not run."""
-    await stream.send(write_not_run())
+    await stream.send(write_not_run(request))
 
 
 class UploadCase(ForwardingCase):
--- a/tests/cardamomtack_daemon/replicas/test_soak.py
+++ b/tests/cardamomtack_daemon/replicas/test_soak.py
@@ -59,7 +59,7 @@
             self.late_arrivals.append(request_id)
         mode = self.mode if self._random.random() < 0.5 else "good"
         if mode == "shed":
-            await stream.send(write_not_run())
+            await stream.send(write_not_run(request))
             return
         self._runs[request_id] += 1
         await anyio.sleep(self._random.uniform(0.0, 0.05))
--- a/tests/cardamomtack_operator/test_story.py
+++ b/tests/cardamomtack_operator/test_story.py
@@ -24,7 +24,7 @@
 
 async def async_refuse(server, request, stream):
     """Refuse a request."""
-    await stream.send(write_not_run())
+    await stream.send(write_not_run(request))
 
 
 async def async_lose(server, request, stream):
