Pass no promise of a server on that it has not proved

What callers saw: 503, 429 or 408 for a booking, passed on from a server that had run it and did not say that it had not. To a caller these mean 'not run', so it sends the booking again.

Cause: such an answer counted as a failure of the server and was passed on as it was.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -23,6 +23,9 @@
 NO_RATE_LIMIT = -1.0
 """What the log says of an answer that names no limit."""
 
+PROMISING_STATUSES = frozenset({408, 429, 503})
+"""Tell a caller that its request has not run, so a server has to prove it."""
+
 STATUS_FAILURE_MIN = 500
 STATUS_GATEWAY_TIMEOUT = 504
 STATUS_SUCCESS_MAX = 299
@@ -325,6 +328,9 @@
         if is_success and answer.find_header(call.names.signature) is None:
             server.record_failure(now_s)
             return SendResult(SendOutcome.BROKEN)
+        if answer.status in PROMISING_STATUSES and not call.route.is_idempotent:
+            server.record_failure(now_s)
+            return SendResult(SendOutcome.BROKEN)
         if answer.status >= STATUS_FAILURE_MIN:
             if answer.status != STATUS_GATEWAY_TIMEOUT:
                 server.record_failure(now_s)
