Take nothing in a planned stop that would be cut at its end

What callers saw: 504 for requests that came late in the grace period of a VM that was stopped, in calm, among them bookings that a server was running.

Causes: with a grace period of 2.8 s or less the VM ended before it began to refuse; whatever its length, a request was sent however long its answer would take; and the wait for the store to take note, up to 1 s, came before the grace period was counted, so that the end came after SIGKILL while the store did not answer.

Now the end is fixed when SIGTERM comes, the store is told beside it, requests are taken for half of a short grace period at most, and one whose answer is expected too late is refused before it is sent, 'not run', for another VM to take.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/const.py
@@ -9,11 +9,17 @@
 """After how long without an answer the next server is probed beside the last one."""
 
 BALANCER_NOTICE_S: Final = 2.5
+BALANCER_NOTICE_SHARE_MAX: Final = 0.5
+"""Share of a short grace period for which requests are taken."""
+
 CALLER_CONNECTIONS_MAX: Final = 3000
 CLOCK_CHECK_S: Final = 0.25
 CLOCK_JUMP_S: Final = 0.4
 DRAIN_CHECK_S: Final = 0.05
 EXIT_MARGIN_S: Final = 0.3
+FINISH_FACTOR: Final = 1.5
+"""How many times as long as estimated an answer may take before this VM ends."""
+
 HEAD_MARGIN_S: Final = 0.5
 IDLE_MARGIN_S: Final = 1.0
 LIFE_TIMEOUT_S: Final = 0.25
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -40,6 +40,7 @@
 from cardamomtack_daemon.forwarding.attempt import RequestSender
 from cardamomtack_daemon.forwarding.const import (
     BALANCER_NOTICE_S,
+    BALANCER_NOTICE_SHARE_MAX,
     CALLER_CONNECTIONS_MAX,
     DRAIN_CHECK_S,
     EXIT_MARGIN_S,
@@ -335,17 +336,25 @@
             self._pool.close_expired()
 
     async def _async_shut_down(self) -> None:
-        """Serve on until the balancer has noticed, and finish what is in flight."""
+        """Serve on until the balancer has noticed, and finish what is in flight.
+
+        What would not be answered before the end is refused before it is sent.
+        """
+        left_s = self._settings.grace_s - EXIT_MARGIN_S
+        self._forwarder.ends_at_s = self._clock.read_monotonic_s() + left_s
         self._is_leaving = True
         self._callers.is_closing = True
         self._limits.leave()
         self._relay.broadcast_leaving()
-        await self._membership.async_leave()
-        with move_on_after(self._settings.grace_s - EXIT_MARGIN_S):
-            await sleep(BALANCER_NOTICE_S)
-            self._forwarder.is_refusing = True
-            while self._forwarder.in_flight:
-                await sleep(DRAIN_CHECK_S)
+        async with create_task_group() as tasks:
+            # The store may not answer, and that must not take time from requests.
+            tasks.start_soon(self._membership.async_leave)
+            with move_on_after(left_s):
+                await sleep(min(BALANCER_NOTICE_S, BALANCER_NOTICE_SHARE_MAX * left_s))
+                self._forwarder.is_refusing = True
+                while self._forwarder.in_flight:
+                    await sleep(DRAIN_CHECK_S)
+            tasks.cancel_scope.cancel()
         # What is still running gets an answer rather than a broken connection.
         self._sender.expire_all()
         self._callers.close_idle()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -4,6 +4,7 @@
 
 from asyncio import CancelledError
 from collections.abc import Callable
+from math import inf
 from random import Random
 
 from loguru import logger
@@ -25,7 +26,10 @@
 from cardamomtack_daemon.forwarding.attempt import RequestSender
 from cardamomtack_daemon.forwarding.body import ForwardedBody
 from cardamomtack_daemon.forwarding.call import ForwardedCall
-from cardamomtack_daemon.forwarding.const import SUSPECT_RETRY_AFTER_S
+from cardamomtack_daemon.forwarding.const import (
+    FINISH_FACTOR,
+    SUSPECT_RETRY_AFTER_S,
+)
 from cardamomtack_daemon.forwarding.header_names import HeaderNames
 from cardamomtack_daemon.forwarding.hedging import HedgedSender
 from cardamomtack_daemon.forwarding.outcome import SendOutcome, SendResult
@@ -86,6 +90,8 @@
 
     Attributes
     ----------
+    ends_at_s : float
+        Monotonic time at which this VM ends, in seconds; infinite while it doesn't.
     in_flight : int
         Requests that are not answered yet.
     is_refusing : bool
@@ -113,6 +119,7 @@
         "_returns",
         "_routes",
         "_sender",
+        "ends_at_s",
         "in_flight",
         "is_refusing",
         "settings",
@@ -153,6 +160,7 @@
         self._hedged = HedgedSender(
             sender, placer, crash_tracker, self._find_budget, clock
         )
+        self.ends_at_s = inf
         self.in_flight = 0
         self.is_refusing = False
         self.settings = settings
@@ -298,6 +306,9 @@
             probed = await self._placer.async_place(call)
             if probed is None:
                 return self._finish_unplaced(call, result)
+            if not self._can_finish(call):
+                self._sender.release_unused(probed)
+                return self._finish_leaving(call, result)
             if result is not None and not budget.spend_send(
                 self._clock.read_monotonic_s(),
                 choose_budget_share(call.route.priority),
@@ -310,6 +321,21 @@
             if not self._may_send_again(call, result):
                 return self._finish(call, result, result.outcome.value, had_capacity)
 
+    def _can_finish(self, call: ForwardedCall) -> bool:
+        """Return whether a call that is sent now is answered before this VM ends."""
+        estimate_s = call.estimate_s or self._placer.estimate_work_s(call)
+        now_s = self._clock.read_monotonic_s()
+        return now_s + FINISH_FACTOR * estimate_s <= self.ends_at_s
+
+    def _finish_leaving(
+        self, call: ForwardedCall, result: SendResult | None
+    ) -> tuple[Handled, str]:
+        """Return the final answer of a call that other VMs can take, and the reason."""
+        reason = "this VM is leaving"
+        if result is not None and result.outcome is not SendOutcome.NOT_RUN:
+            return self._finish(call, result, reason)
+        return (_write_refusal(reason, LEAVING_RETRY_AFTER_S), None), reason
+
     def _finish_unplaced(
         self, call: ForwardedCall, result: SendResult | None
     ) -> tuple[Handled, str]:
--- a/tests/cardamomtack_daemon/forwarding/memory.py
+++ b/tests/cardamomtack_daemon/forwarding/memory.py
@@ -75,10 +75,17 @@
 
 
 class MemoryMembers:
-    """The records of the VMs."""
+    """The records of the VMs.
+
+    Attributes
+    ----------
+    is_silent : bool
+        Whether writes get no answer.
+    """
 
     def __init__(self) -> None:
         self.records: dict[str, bytes] = {}
+        self.is_silent = False
 
     async def async_read_members(self, timeout_s: float) -> list[bytes]:
         return [record for record in self.records.values() if record]
@@ -86,6 +93,9 @@
     async def async_write_member(
         self, vm_id: str, record: bytes, timeout_s: float
     ) -> None:
+        if self.is_silent:
+            await anyio.sleep(timeout_s)
+            raise StoreError("silent")
         self.records[vm_id] = record
 
 
