Spend none of the fleet's budgets before the other VMs are known

What callers saw: nothing directly; servers under overload could get more repeats than the fleet may make, and more health checks.

Cause, of the same class as the limits of servers: a VM that starts took itself for the only one until it had read the records of the others, so each of the VMs that are started together, or while the store does not answer, had the whole slack of the retry budget and all health checks; hedges draw on the same budget. And a VM that is started again forgot what it had spent in the window.

Now a VM that knows no others has no slack and the health checks of one among 320, shares are worked out as soon as the others are known, and for its first window a run has 0.42 of its slack, so that what it spent before fits beside it.

--- a/packages/cardamomtack/src/cardamomtack/placing/budget.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/budget.py
@@ -11,7 +11,7 @@
 
 from collections import deque
 
-from cardamomtack.placing.const import RETRY_BUDGET_SHARE
+from cardamomtack.placing.const import NEW_RUN_SLACK_SHARE, RETRY_BUDGET_SHARE
 
 PART_BY_PRIORITY = (1.0, 0.9, 0.8)
 """Part of the budget on which further sends of a kind may draw."""
@@ -76,6 +76,30 @@
         return True
 
 
+def compute_slack(
+    slack: float, vms: int | None, uptime_s: float, window_s: float
+) -> float:
+    """Return this VM's part of the further sends that the fleet may make.
+
+    A VM does not know what it spent before it was started again, so its part is small
+    until that is out of the window.
+
+    Parameters
+    ----------
+    slack : float
+        What the whole fleet may make in a window, beside those for its requests.
+    vms : int or None
+        How many VMs there are; None before that is known.
+    uptime_s : float
+        Time since this VM was started, in seconds.
+    """
+    if vms is None:
+        return 0.0
+    if uptime_s < window_s:
+        slack *= NEW_RUN_SLACK_SHARE
+    return slack / vms
+
+
 def choose_budget_share(priority: int) -> float:
     """Return the part of the budget on which a further send may draw.
 
--- a/packages/cardamomtack/src/cardamomtack/placing/const.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/const.py
@@ -50,6 +50,9 @@
 REPORT_FRESH_S_MAX: Final = 0.01
 """For how long a report is as good as that of a probe."""
 
+NEW_RUN_SLACK_SHARE: Final = 0.42
+"""Part of its slack that a VM may spend beside what it spent before its start."""
+
 RETRY_BUDGET_SHARE: Final = 0.7
 """Part of the retry budget that is spent, for VMs that are not known yet."""
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/const.py
@@ -20,6 +20,9 @@
 FINISH_FACTOR: Final = 1.5
 """How many times as long as estimated an answer may take before this VM ends."""
 
+FLEET_VMS_ASSUMED: Final = 320
+"""How many VMs share the health checks as long as a VM that starts knows no others."""
+
 HEAD_MARGIN_S: Final = 0.5
 IDLE_MARGIN_S: Final = 1.0
 LIFE_TIMEOUT_S: Final = 0.25
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -44,6 +44,7 @@
     CALLER_CONNECTIONS_MAX,
     DRAIN_CHECK_S,
     EXIT_MARGIN_S,
+    FLEET_VMS_ASSUMED,
     HEAD_MARGIN_S,
     IDLE_MARGIN_S,
     MAINTENANCE_S,
@@ -315,7 +316,7 @@
         await tasks.start(
             self._relay.async_serve, settings.address, settings.relay_port
         )
-        tasks.start_soon(self._membership.async_join)
+        tasks.start_soon(self._async_join)
         tasks.start_soon(self._relay.async_subscribe)
         await tasks.start(self._callers.async_serve, settings.address, settings.port)
         tasks.start_soon(
@@ -324,6 +325,11 @@
         tasks.start_soon(self._async_maintain)
         tasks.start_soon(async_watch_clock, self._wake)
 
+    async def _async_join(self) -> None:
+        """Learn of the other VMs, and share the budgets of the fleet with them."""
+        await self._membership.async_join()
+        self._share_budgets()
+
     async def _async_maintain(self) -> None:
         """Drop what has grown old."""
         while True:
@@ -402,12 +408,15 @@
 
     def _share_budgets(self) -> None:
         """Share the budgets of the fleet among the VMs that are known."""
-        vms = self._members.count
+        has_joined = self._membership.has_joined
+        vms = self._members.count if has_joined else None
         self._forwarder.vms = vms
         self._prober.limiter.apply_bounds(
-            self._settings.checks_per_server_per_s, len(self._registry.servers), vms
+            self._settings.checks_per_server_per_s,
+            len(self._registry.servers),
+            vms or FLEET_VMS_ASSUMED,
         )
-        self._limits.share(self._membership.has_joined)
+        self._limits.share(has_joined)
 
     def _report_crash(self, server_id: str, digests: list[bytes]) -> None:
         """Notify all VMs of a crash, this one included."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -17,7 +17,11 @@
     choose_prompt_retry_after_s,
     choose_retry_after_s,
 )
-from cardamomtack.placing.budget import RetryBudget, choose_budget_share
+from cardamomtack.placing.budget import (
+    RetryBudget,
+    choose_budget_share,
+    compute_slack,
+)
 from cardamomtack.placing.caller_wait import CallerWaitEstimator
 from cardamomtack.placing.server import is_near_capacity
 from cardamomtack.quarantine.tracker import CrashTracker
@@ -98,8 +102,8 @@
         Whether new requests are sent to other VMs, because this one leaves.
     settings : EntrySettings
         Settings of the VM; newer ones may take their place.
-    vms : int
-        How many VMs share the budgets of the fleet.
+    vms : int or None
+        How many VMs share the budgets of the fleet; None before that is known.
     """
 
     __slots__ = (
@@ -119,6 +123,7 @@
         "_returns",
         "_routes",
         "_sender",
+        "_started_at_s",
         "ends_at_s",
         "in_flight",
         "is_refusing",
@@ -145,7 +150,8 @@
         self._memory = memory
         self._read_servers_age_ms = read_servers_age_ms
         # Callers of before a start may come back to this VM.
-        self._refused_at_s = clock.read_monotonic_s()
+        self._started_at_s = clock.read_monotonic_s()
+        self._refused_at_s = self._started_at_s
         self._budgets: dict[str, RetryBudget] = {}
         self._limits = limits
         self._returns: dict[str, ReturnSchedule] = {}
@@ -164,7 +170,7 @@
         self.in_flight = 0
         self.is_refusing = False
         self.settings = settings
-        self.vms = 1
+        self.vms: int | None = None
 
     async def async_handle(self, request: HttpRequest) -> Handled:
         """Return the answer, and the source of its rest when it isn't whole."""
@@ -348,7 +354,7 @@
         schedule = self._returns.setdefault(call.service, ReturnSchedule())
         retry_after_s = schedule.choose_retry_after_s(
             limits.wait_s,
-            limits.rate_per_s / self.vms,
+            limits.rate_per_s / (self.vms or 1),
             call.leaves_at_s - now_s,
             now_s,
         )
@@ -410,7 +416,12 @@
         settings = self.settings
         budget.apply_bounds(
             settings.retry_share,
-            settings.retry_slack / self.vms,
+            compute_slack(
+                settings.retry_slack,
+                self.vms,
+                self._clock.read_monotonic_s() - self._started_at_s,
+                settings.retry_window_s,
+            ),
             settings.retry_window_s,
         )
         return budget
--- a/tests/cardamomtack/placing/test_decisions.py
+++ b/tests/cardamomtack/placing/test_decisions.py
@@ -13,7 +13,11 @@
     ServerCapacity,
     is_worth_placing,
 )
-from cardamomtack.placing.budget import RetryBudget, choose_budget_share
+from cardamomtack.placing.budget import (
+    RetryBudget,
+    choose_budget_share,
+    compute_slack,
+)
 from cardamomtack.placing.chooser import PlacementChooser
 from cardamomtack.placing.server import (
     LoadReport,
@@ -275,6 +279,21 @@
         spent = sum(budget.spend_send(1.0) for budget in budgets for _ in range(100))
         self.assertLessEqual(spent, 60)
 
+    def test_vms_that_start_again_do_not_spend_the_slack_twice(self):
+        vms, slack, window_s = 13, 56.0, 10.0
+        spent = 0
+        for uptime_s in (window_s, 0.0):
+            for _ in range(vms):
+                budget = RetryBudget()
+                part = compute_slack(slack, vms, uptime_s, window_s)
+                budget.apply_bounds(0.2, part, window_s)
+                spent += sum(budget.spend_send(1.0) for _ in range(100))
+        self.assertGreater(spent, 0)
+        self.assertLessEqual(spent, slack)
+
+    def test_vm_that_knows_no_others_yet_has_no_slack(self):
+        self.assertEqual(compute_slack(56.0, None, 0.0, 10.0), 0.0)
+
     def test_last_of_the_budget_is_kept_for_urgent_kinds(self):
         budget = RetryBudget()
         budget.apply_bounds(0.0, 40.0, 10.0)
