Keep what a service takes while a server warms up over all VMs

What callers saw: nothing directly; a server that has just started, or is cold again, crashes when it gets far more than its service says it takes while it warms up.

Now a server that warms up has the limit of its service, dealt to the VMs as one that the server names.

--- a/packages/cardamomtack/src/cardamomtack/limits/coordinator.py
+++ b/packages/cardamomtack/src/cardamomtack/limits/coordinator.py
@@ -79,7 +79,7 @@
 
         Heartbeats are only sent while a server has a limit.
         """
-        if not self.statements.has_limits:
+        if not self.statements.has_limits and not self._limited:
             self._beat_at_s = None
             return False
         is_idle = now_s - self._requested_at_s > IDLE_AFTER_S
@@ -96,7 +96,7 @@
         """Work out this VM's shares from what is known now."""
         now_s = self._clock.read_monotonic_s()
         self._drop_old(now_s)
-        limits = self._list_limits()
+        limits = self._list_limits(now_s)
         for server in self._limited:
             if server not in limits:
                 server.allowance = None
@@ -121,16 +121,26 @@
                 server.allowance = SendAllowance(now_s)
             server.allowance.apply_share(share_per_s, rate_per_s, now_s)
 
-    def _list_limits(self) -> dict[ServerView, float]:
-        """Return the servers that have a limit, and the limit, in requests a second."""
+    def _list_limits(self, now_s: float) -> dict[ServerView, float]:
+        """Return the servers that have a limit, and the limit, in requests a second.
+
+        One that warms up has that of its service, which all VMs know.
+        """
         limits: dict[ServerView, float] = {}
+        for service in self._registry.services.values():
+            if service.warm_up_rate_per_s is None:
+                continue
+            for server in service.members:
+                if server.is_warming(now_s):
+                    limits[server] = service.warm_up_rate_per_s
         for statement in self.statements.list_statements():
             server_id = statement.server_key.rpartition("/")[0]
-            server = self._registry.servers.get(server_id)
-            if server is None or server.key != statement.server_key:
+            named = self._registry.servers.get(server_id)
+            if named is None or named.key != statement.server_key:
                 continue
             if statement.rate_per_s is not None:
-                limits[server] = statement.rate_per_s
+                rate_per_s = limits.get(named, statement.rate_per_s)
+                limits[named] = min(rate_per_s, statement.rate_per_s)
         return limits
 
     def _drop_old(self, now_s: float) -> None:
--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -182,6 +182,10 @@
         if self.allowance is not None:
             self.allowance.refund()
 
+    def record_warm_up(self, left_s: float, now_s: float) -> None:
+        """Record that the server warms up for some seconds more."""
+        self._warm_at_s = max(self._warm_at_s, now_s + left_s)
+
     def is_warming(self, now_s: float) -> bool:
         """Return whether the server is still slow after its start."""
         return now_s < self._warm_at_s
@@ -293,6 +297,8 @@
         Whether its servers report their load; None before any has answered.
     slowdown_estimates : SlowdownEstimates
         What has been learnt of its servers.
+    warm_up_rate_per_s : float or None
+        Requests a second that a server takes from all VMs together while it warms up.
     """
 
     __slots__ = (
@@ -306,6 +312,7 @@
         "name",
         "reports_load",
         "slowdown_estimates",
+        "warm_up_rate_per_s",
     )
 
     def __init__(self, name: str) -> None:
@@ -319,6 +326,7 @@
         self.members: list[ServerView] = []
         self.reports_load: bool | None = None
         self.slowdown_estimates = SlowdownEstimates()
+        self.warm_up_rate_per_s: float | None = None
 
     def add_member(self, server: ServerView) -> None:
         """Add a server that has come."""
--- a/packages/cardamomtack/src/cardamomtack/routing/policy.py
+++ b/packages/cardamomtack/src/cardamomtack/routing/policy.py
@@ -71,11 +71,15 @@
         Path of its health check.
     connections_max : int
         Connections that one server accepts from all callers together.
+    warm_up_rate_per_s : float or None
+        Requests a second that a server takes from all VMs together while it warms up;
+        None for no such limit.
     """
 
     name: str
     health_path: str
     connections_max: int
+    warm_up_rate_per_s: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -376,6 +376,9 @@
             self._caller_limits.head_bytes_max = limits.header_bytes_max
             self._caller_limits.head_s = limits.header_timeout_s + HEAD_MARGIN_S
             self._caller_limits.idle_s = limits.idle_timeout_s + IDLE_MARGIN_S
+        for name, service in configuration.services.items():
+            view = self._registry.find_service(name)
+            view.warm_up_rate_per_s = service.warm_up_rate_per_s
         self._prober.health_paths = {
             name: service.health_path.encode()
             for name, service in configuration.services.items()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/header_names.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/header_names.py
@@ -30,6 +30,9 @@
         Id of the server, on answers to health checks.
     rate_limit : bytes
         Requests a second that the server takes from all VMs together.
+    warm_up_ms : bytes
+        How much longer the server warms up, in milliseconds, on answers to health
+        checks.
     parse_load : callable
         Returns the report of a load header, or None when it can't be read.
     parse_rate_limit : callable
@@ -45,5 +48,6 @@
     load: bytes
     server_id: bytes
     rate_limit: bytes
+    warm_up_ms: bytes
     parse_load: Callable[[bytes], LoadReport | None]
     parse_rate_limit: Callable[[bytes], float | None]
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
@@ -7,7 +7,7 @@
 
 from anyio import Event, create_task_group, move_on_after
 
-from cardamomtack.helpers.clock import Clock
+from cardamomtack.helpers.clock import MS_PER_S, Clock
 from cardamomtack.measuring.pacer import ProbeLimiter
 from cardamomtack.placing.server import ServerView, ServiceView
 from cardamomtack_daemon.forwarding.const import (
@@ -266,6 +266,7 @@
             server.record_unreachable(self._clock.read_monotonic_s())
             return False
         self._limits.record_check(server, answer, sent_at_s)
+        self._record_warm_up(server, answer)
         self._record_load(service, server, answer)
         if answer.status != STATUS_OK:
             server.record_failure(self._clock.read_monotonic_s())
@@ -293,6 +294,13 @@
         named = answer.find_header(self._names.server_id)
         return named is not None and named != server.vm_id.encode()
 
+    def _record_warm_up(self, server: ServerView, answer: HttpAnswer) -> None:
+        """Record that a server warms up, as one may do again at any moment."""
+        value = answer.find_header(self._names.warm_up_ms)
+        if value is not None and value.isdigit() and int(value):
+            now_s = self._clock.read_monotonic_s()
+            server.record_warm_up(int(value) / MS_PER_S, now_s)
+
     def _record_load(
         self, service: ServiceView, server: ServerView, answer: HttpAnswer
     ) -> None:
--- a/tests/cardamomtack/limits/test_shared_limits.py
+++ b/tests/cardamomtack/limits/test_shared_limits.py
@@ -127,6 +127,22 @@
         fleet.run(45.0)
         self.assertGreater(fleet.count_most(fleet.now_s - 5.0, 5.0), 20)
 
+    def test_server_that_warms_up_gets_what_it_takes_from_all_vms(self):
+        for vms in (2, 13, 40):
+            with self.subTest(vms=vms):
+                fleet = SimulatedFleet(vms, None, 1)
+                for vm in fleet.vms:
+                    vm.registry.find_service("desk").warm_up_rate_per_s = 3.0
+                    vm.server.record_warm_up(8.0, fleet.now_s)
+                    vm.coordinator.share_limits()
+                fleet.run(8.0)
+                self.check_most(fleet, 3.0, 0.0)
+                self.assertGreater(len(fleet.arrived_s), USED_SHARE_MIN * 3.0 * 6.0)
+                warm_s = fleet.now_s + 1.0
+                fleet.run(3.0)
+                used = sum(one >= warm_s for one in fleet.arrived_s)
+                self.assertGreater(used, 0.7 * fleet.calls_per_s * vms * 2.0)
+
     def test_share_of_a_vm_that_is_gone_is_used_by_the_others(self):
         for seed in range(6):
             with self.subTest(seed=seed):
--- a/tests/cardamomtack_daemon/forwarding/test_named_limits.py
+++ b/tests/cardamomtack_daemon/forwarding/test_named_limits.py
@@ -4,14 +4,20 @@
 
 import unittest
 from collections import Counter
+from dataclasses import replace
 from random import Random
 
 import anyio
 
+from cardamomtack.routing.policy import BackendService
 from tests.cardamomtack_daemon.forwarding.callers import CallerAnswer
 from tests.cardamomtack_daemon.forwarding.case import EntryVm
 from tests.cardamomtack_daemon.forwarding.memory import make_configuration
-from tests.cardamomtack_daemon.forwarding.servers import ScriptedServer, write_answer
+from tests.cardamomtack_daemon.forwarding.servers import (
+    SERVICE,
+    ScriptedServer,
+    write_answer,
+)
 
 ALLOWED_FACTOR = 1.5
 ALLOWED_REQUESTS = 5
@@ -249,6 +255,25 @@
 
         self.run_fleet(scenario)
 
+    def test_server_that_warms_up_gets_no_more_from_all_vms_than_its_service_takes(
+        self,
+    ):
+        async def scenario(fleet):
+            cold = fleet.servers[0]
+            services = {SERVICE: BackendService(SERVICE, "/health", 100, 2.0)}
+            fleet.store.publish(replace(make_configuration(2), services=services))
+            fleet.store.register(cold.make_entry(warm_up_left_s=20.0))
+            await anyio.sleep(HEARD_AFTER_S)
+            since_s = anyio.current_time()
+            await fleet.async_call(6.0, 60.0)
+            most = cold.count_most(since_s, anyio.current_time())
+            self.assertLessEqual(most, count_allowed(2.0))
+            self.assertGreater(most, 0)
+            statuses = {answer.status for answer in fleet.answers}
+            self.assertEqual(statuses, {200})
+
+        self.run_fleet(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/cardamomtack_platform/test_translation.py
+++ b/tests/cardamomtack_platform/test_translation.py
@@ -325,6 +325,30 @@
         self.assertIsInstance(parse_settings(text, "boot.conf"), list)
 
 
+class WarmUpTest(unittest.TestCase):
+    """What a service takes while its servers warm up."""
+
+    def parse(self, **changes):
+        """Return the first service of a configuration, and the findings."""
+        record = copy.deepcopy(CONFIGURATION)
+        record["services"][0].update(changes)
+        configuration = parse_configuration(json.dumps(record).encode())
+        return configuration.services["desk"], configuration.findings
+
+    def test_rate(self):
+        service, findings = self.parse(warmupPerS=3.9)
+        self.assertEqual((service.warm_up_rate_per_s, findings), (3.9, ()))
+        service, findings = self.parse()
+        self.assertEqual((service.warm_up_rate_per_s, findings), (None, ()))
+
+    def test_what_is_no_rate(self):
+        for value in (0, -1, "3", True, []):
+            with self.subTest(value=value):
+                service, findings = self.parse(warmupPerS=value)
+                self.assertIsNone(service.warm_up_rate_per_s)
+                self.assertIn("/services/0/warmupPerS", findings[0])
+
+
 class RateLimitTest(unittest.TestCase):
     """The limit that a server names in its answers."""
 
