Let refusals not end a limit, and soak limits, planned stops and kept connections

A server may refuse or fail without the header that its other answers bear, so only an answer to a request that it ran ends its limit. test_refusal_without_a_limit guards it.

The soak also lets servers name limits and write old refusals, stops VMs gracefully beside the kills, and keeps connections open until the process is gone; a request that ran and whose connection was closed by a VM that was not killed is a finding.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -293,7 +293,12 @@
         """Return what an answer says of its request and its server."""
         result = self._judge(send.call, send.server, answer)
         if answer.status != STATUS_MISDIRECTED:
-            rate = self._limits.record_answer(send.server, answer, send.sent_at_s)
+            rate = self._limits.record_answer(
+                send.server,
+                answer,
+                send.sent_at_s,
+                can_end=result.outcome is SendOutcome.ANSWERED,
+            )
             send.record.rate_limit = rate if rate is not None else NO_RATE_LIMIT
         if not answer.is_whole and result.answer is not None:
             result.rest = AnswerRest(
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/shared_limits.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/shared_limits.py
@@ -74,7 +74,11 @@
             self.share()
 
     def record_answer(
-        self, server: ServerView, answer: HttpAnswer, sent_at_s: float
+        self,
+        server: ServerView,
+        answer: HttpAnswer,
+        sent_at_s: float,
+        can_end: bool,
     ) -> float | None:
         """Record what the answer to a request says of a limit, and return the limit.
 
@@ -82,6 +86,9 @@
         ----------
         sent_at_s : float
             Monotonic time at which the request was sent, in seconds.
+        can_end : bool
+            Whether an answer without a limit ends it; a refusal or a failure may come
+            from a part of the server that names none.
 
         Returns
         -------
@@ -89,6 +96,8 @@
             In requests a second; None when the answer names no limit.
         """
         is_readable, rate_per_s = self._read_limit(answer)
+        if rate_per_s is None and not can_end:
+            return None
         now_s = self._clock.read_monotonic_s()
         if is_readable and self._coordinator.statements.record_answer(
             server.key, rate_per_s, sent_at_s, now_s
--- a/tests/cardamomtack_daemon/forwarding/test_named_limits.py
+++ b/tests/cardamomtack_daemon/forwarding/test_named_limits.py
@@ -17,6 +17,7 @@
     SERVICE,
     ScriptedServer,
     write_answer,
+    write_not_run,
 )
 
 ALLOWED_FACTOR = 1.5
@@ -39,8 +40,8 @@
         When requests came, in seconds.
     named_at_s : float or None
         When it first answered with a limit, in seconds.
-    names_in_checks : bool
-        Whether its answers to health checks name the limit as well.
+    refuses : bool
+        Whether it refuses all requests, without a limit.
     """
 
     def __init__(self, server_id: str, zone: str = "zone-0") -> None:
@@ -48,11 +49,15 @@
         self.rate_per_s: float | None = None
         self.arrived_s: list[float] = []
         self.named_at_s: float | None = None
+        self.refuses = False
         self.script = LimitedServer.async_act
 
     async def async_act(self, request, stream) -> None:
         """Run a request and answer it, with the limit of now."""
         self.arrived_s.append(anyio.current_time())
+        if self.refuses:
+            await stream.send(write_not_run(request))
+            return
         self.ran.append(request.headers[b"test-id"].decode())
         await anyio.sleep(WORK_S)
         fields = {}
@@ -239,6 +244,20 @@
 
         self.run_fleet(scenario)
 
+    def test_refusal_without_a_limit_does_not_end_it(self):
+        async def scenario(fleet):
+            limited = fleet.servers[0]
+            limited.rate_per_s = 2.0
+            await fleet.async_call(3.0, 60.0)
+            limited.refuses = True
+            since_s = anyio.current_time()
+            await fleet.async_call(6.0, 60.0)
+            most = limited.count_most(since_s, anyio.current_time())
+            self.assertGreater(most, 0)
+            self.assertLessEqual(most, count_allowed(2.0))
+
+        self.run_fleet(scenario)
+
     def test_vm_that_starts_again_keeps_the_limit(self):
         async def scenario(fleet):
             limited = fleet.servers[0]
--- a/tests/cardamomtack_daemon/replicas/test_soak.py
+++ b/tests/cardamomtack_daemon/replicas/test_soak.py
@@ -13,7 +13,7 @@
 
 import anyio
 
-from tests.cardamomtack_daemon.forwarding.callers import CallerAnswer
+from tests.cardamomtack_daemon.forwarding.callers import Caller, CallerAnswer
 from tests.cardamomtack_daemon.forwarding.case import EntryVm
 from tests.cardamomtack_daemon.forwarding.memory import ROUTES, make_configuration
 from tests.cardamomtack_daemon.forwarding.servers import (
@@ -22,6 +22,7 @@
     write_not_run,
 )
 
+CALL_ERRORS = (OSError, anyio.BrokenResourceError, TimeoutError)
 CALLS_PER_S = 50.0
 DEADLINE_MS = 1500
 DRAIN_S_MAX = 4.0
@@ -36,7 +37,24 @@
 FOREIGN = b"HTTP/1.1 200 X\r\ntest-id: other\r\ntest-signature: s\r\n"
 FOREIGN += b"content-length: 5\r\n\r\nother"
 
-MODES = ("shed", "fail", "cut", "foreign", "hang", "late", "short", "unsigned")
+GRACE_S = 2.5
+LIMIT_HEARD_S = 3.0
+"""After how long all VMs keep a limit that a server names."""
+
+LIMIT_S = 8.0
+LIMIT_WINDOW_S = 4.0
+MODES = (
+    "shed",
+    "fail",
+    "cut",
+    "foreign",
+    "stale",
+    "hang",
+    "late",
+    "short",
+    "unsigned",
+)
+STALE = b"HTTP/1.1 503 X\r\ntest-not-run: 1\r\ncontent-length: 0\r\n\r\n"
 
 
 class SoakServer(ScriptedServer):
@@ -48,6 +66,8 @@
         self.drains_at_s = float("inf")
         self.incarnation = 1
         self.late_arrivals: list[str] = []
+        self.arrived_s: list[float] = []
+        self.limit_per_s: float | None = None
         self._random = random
         self._runs = runs
         self.script = SoakServer.async_act
@@ -55,6 +75,10 @@
     async def async_act(self, request, stream) -> None:
         """Run a request as the mode of now says, half of the time."""
         request_id = request.headers[b"test-id"].decode()
+        self.arrived_s.append(anyio.current_time())
+        fields = {}
+        if self.limit_per_s is not None:
+            fields["test_limit"] = f"{self.limit_per_s:g}"
         if anyio.current_time() > self.drains_at_s + DRAIN_S_MAX:
             self.late_arrivals.append(request_id)
         mode = self.mode if self._random.random() < 0.5 else "good"
@@ -63,7 +87,7 @@
             return
         self._runs[request_id] += 1
         await anyio.sleep(self._random.uniform(0.0, 0.05))
-        whole = write_answer(request, 200, request_id.encode())
+        whole = write_answer(request, 200, request_id.encode(), **fields)
         if mode == "fail":
             await stream.send(write_answer(request, 500, b"no"))
         elif mode == "hang":
@@ -75,7 +99,19 @@
             await stream.send(whole.replace(b"test-signature: signed\r\n", b""))
         else:
             await anyio.sleep(LATE_S if mode == "late" else 0.0)
-            await stream.send((FOREIGN if mode == "foreign" else b"") + whole)
+            before = {"foreign": FOREIGN, "stale": STALE}.get(mode, b"")
+            await stream.send(before + whole)
+
+    def count_most(self, since_s: float, until_s: float) -> int:
+        """Return the most requests that came in a window of a limit."""
+        times = [one for one in self.arrived_s if since_s <= one <= until_s]
+        return max(
+            (
+                sum(one <= other < one + LIMIT_WINDOW_S for other in times)
+                for one in times
+            ),
+            default=0,
+        )
 
 
 class Soak:
@@ -87,6 +123,8 @@
         self.runs: Counter[str] = Counter()
         self.answers: dict[str, CallerAnswer] = {}
         self.findings: list[str] = []
+        self.killed: set[EntryVm] = set()
+        self.unanswered: list[str] = []
         self.version = 1
         self.last = 0
         self.store = EntryVm("vm-0", zone="zone-0")
@@ -124,8 +162,9 @@
 
     async def async_run_vm(self, number: int) -> None:
         """Run one VM until it is killed."""
+        vm = self.vms[number]
+        self.tasks.start_soon(self.async_keep_calling, vm)
         with self.scopes[number]:
-            vm = self.vms[number]
             await vm.daemon.async_serve(vm.stopping)
 
     async def async_watch_versions(self) -> None:
@@ -146,17 +185,48 @@
             await anyio.sleep(self.random.expovariate(CALLS_PER_S))
             callers.start_soon(self.async_call, self.random.choice(self.vms))
 
+    async def async_keep_calling(self, vm: EntryVm) -> None:
+        """Call on kept connections until the process is gone."""
+        await anyio.sleep(self.random.uniform(0.5, 1.0))
+        while not vm.daemon._stopped.is_set() and vm not in self.killed:
+            try:
+                async with vm.open_caller() as caller:
+                    is_open = True
+                    while is_open:
+                        is_open = await self.async_call_on_kept(vm, caller)
+                        await anyio.sleep(self.random.uniform(0.05, 0.5))
+            except CALL_ERRORS:
+                await anyio.sleep(0.1)
+
+    async def async_call_on_kept(self, vm: EntryVm, caller: Caller) -> bool:
+        """Send one request and return whether another may follow it."""
+        request_id, route, body = self.choose_request()
+        answer = await caller.async_call(route, request_id, body, DEADLINE_MS)
+        self.record_answer(vm, request_id, answer)
+        is_closing = answer.headers.get("connection") == "close"
+        return answer.is_whole and not is_closing
+
     async def async_call(self, vm: EntryVm) -> None:
-        """Send one request and keep its answer."""
-        self.last += 1
-        is_booking = self.random.random() < 0.5
-        route, body = ("book", b"van") if is_booking else ("read", b"")
-        request_id = f"{route}-{self.last}"
+        """Send one request on a new connection and keep its answer."""
+        request_id, route, body = self.choose_request()
         try:
             answer = await vm.async_call(route, request_id, body, DEADLINE_MS)
-        except (OSError, anyio.BrokenResourceError, TimeoutError):
+        except CALL_ERRORS:
             return
+        self.record_answer(vm, request_id, answer)
+
+    def choose_request(self) -> tuple[str, str, bytes]:
+        """Return the id, the route and the body of the next request."""
+        self.last += 1
+        is_booking = self.random.random() < 0.5
+        route, body = ("book", b"van") if is_booking else ("read", b"")
+        return f"{route}-{self.last}", route, body
+
+    def record_answer(self, vm: EntryVm, request_id: str, answer: CallerAnswer) -> None:
+        """Keep an answer, or that a VM which was not killed gave none."""
         self.answers[request_id] = answer
+        if answer.status == 0 and vm not in self.killed:
+            self.unanswered.append(request_id)
 
     async def async_break_things(self) -> None:
         """Break one thing after another until cancelled."""
@@ -167,7 +237,9 @@
             self.async_drain_server,
             self.async_cut_store,
             self.async_kill_vm,
+            self.async_stop_vm,
             self.async_publish,
+            self.async_name_limit,
         ]
         while True:
             self.tasks.start_soon(self.random.choice(acts))
@@ -228,17 +300,49 @@
         """Kill a VM and start it again."""
         number = self.random.randrange(1, VMS)
         old = self.vms[number]
+        self.killed.add(old)
         self.scopes[number].cancel()
         await anyio.sleep(self.random.uniform(0.1, 1.0))
+        self.replace_vm(number, old)
+
+    async def async_stop_vm(self) -> None:
+        """Stop a VM gracefully and start it again."""
+        number = self.random.randrange(1, VMS)
+        old = self.vms[number]
+        old.stopping.set()
+        with anyio.move_on_after(2.0 * GRACE_S):
+            await old.daemon._stopped.wait()
+        self.replace_vm(number, old)
+
+    def replace_vm(self, number: int, old: EntryVm) -> None:
+        """Start a VM that has ended again, unless that was done."""
         if self.vms[number] is not old:
             return
-        vm = EntryVm(
-            old.settings.vm_id, self.store, zone=old.settings.availability_zone
+        self.vms[number] = EntryVm(
+            old.settings.vm_id,
+            self.store,
+            zone=old.settings.availability_zone,
+            grace_s=GRACE_S,
         )
-        self.vms[number] = vm
         self.scopes[number] = anyio.CancelScope()
         self.tasks.start_soon(self.async_run_vm, number)
 
+    async def async_name_limit(self) -> None:
+        """Let a server name a limit for a while, and check what it gets."""
+        server = self.random.choice(self.servers)
+        if server.limit_per_s is not None:
+            return
+        server.limit_per_s = self.random.choice((0.5, 1.8, 5.0))
+        began_s = anyio.current_time()
+        await anyio.sleep(LIMIT_S)
+        ended_s = anyio.current_time()
+        most = server.count_most(began_s + LIMIT_HEARD_S, ended_s)
+        if most > 1.5 * server.limit_per_s * LIMIT_WINDOW_S + 5:
+            self.findings.append(
+                f"{server.server_id} got {most} at {server.limit_per_s}/s"
+            )
+        server.limit_per_s = None
+
     async def async_publish(self) -> None:
         """Write several configurations in quick succession."""
         for _ in range(self.random.randint(1, 4)):
@@ -278,6 +382,9 @@
         for request_id, count in self.runs.items():
             if count > (1 if request_id[0] == "b" else 2):
                 self.findings.append(f"{request_id} ran {count} times")
+        for request_id in self.unanswered:
+            if self.runs[request_id]:
+                self.findings.append(f"{request_id} ran and its connection was closed")
         for server in self.servers:
             for request_id in server.late_arrivals:
                 self.findings.append(
