--- a/packages/cardamomtack/src/cardamomtack/limits/coordinator.py
+++ b/packages/cardamomtack/src/cardamomtack/limits/coordinator.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from cardamomtack.discovery.registry import ServerRegistry
+from cardamomtack.generated.relay import Member
 from cardamomtack.helpers.clock import Clock
 from cardamomtack.limits.allowance import SendAllowance
 from cardamomtack.limits.const import IDLE_AFTER_S, TRIAL_RATE_PER_S
@@ -44,7 +45,9 @@
 
     __slots__ = (
         "_beat_at_s",
+        "_candidates",
         "_clock",
+        "_dealt",
         "_limited",
         "_members",
         "_registry",
@@ -59,6 +62,8 @@
         self, members: MemberTable, registry: ServerRegistry, clock: Clock
     ) -> None:
         self._beat_at_s: float | None = None
+        self._candidates: list[Member] = []
+        self._dealt: dict[str, tuple[float, float]] = {}
         self._clock = clock
         self._limited: list[ServerView] = []
         self._members = members
@@ -103,24 +108,38 @@
         self._limited = list(limits)
         if not limits:
             self.presence.clear()
+            self._dealt.clear()
             return
         own, *others = self._members.list_members()
         presence = self.presence.survey(own, others, now_s)
+        may_use = self.has_joined and not self.is_leaving
         for server, limit_per_s in limits.items():
             rate_per_s = max(limit_per_s, TRIAL_RATE_PER_S) * presence.heard_share
-            shares = deal_shares(
-                server.key,
-                server.entry.availability_zone,
-                rate_per_s,
-                presence.candidates,
-            )
-            share_per_s = shares.get(own.vm_id, 0.0)
-            if self.is_leaving or not self.has_joined:
-                share_per_s = 0.0
+            share_per_s = 0.0
+            if may_use:
+                share_per_s = self._find_share(server, rate_per_s, presence.candidates)
             if server.allowance is None:
                 server.allowance = SendAllowance(now_s)
             server.allowance.apply_share(share_per_s, rate_per_s, now_s)
 
+    def _find_share(
+        self, server: ServerView, rate_per_s: float, candidates: list[Member]
+    ) -> float:
+        """Return this VM's share of the limit of a server, in requests a second.
+
+        It is dealt anew only when the limit or the VMs have changed.
+        """
+        if candidates != self._candidates:
+            self._candidates = candidates
+            self._dealt.clear()
+        dealt = self._dealt.get(server.key)
+        if dealt is None or dealt[0] != rate_per_s:
+            zone = server.entry.availability_zone
+            shares = deal_shares(server.key, zone, rate_per_s, candidates)
+            dealt = rate_per_s, shares.get(self._members.own.vm_id, 0.0)
+            self._dealt[server.key] = dealt
+        return dealt[1]
+
     def _list_limits(self, now_s: float) -> dict[ServerView, float]:
         """Return the servers that have a limit, and the limit, in requests a second.
 
