Come to the same limit on all VMs when two statements cross

What callers saw: nothing seen; found by reading. Two VMs that hear a server at about the same moment, before and after a change, each told the other, and each took the other's statement for the newer one, because how long it was on its way is not known. A VM without a share would then have kept a limit that had ended, and never have asked again.

Now what another VM has heard and allows more passes over what was heard within half a second: both come to the stricter statement, and the server's next answer settles it.

--- a/packages/cardamomtack/src/cardamomtack/limits/const.py
+++ b/packages/cardamomtack/src/cardamomtack/limits/const.py
@@ -16,6 +16,7 @@
 """Heartbeats that each VM may hear from all others together."""
 
 IDLE_AFTER_S: Final = 2.0
+NOTICE_DELAY_S_MAX: Final = 0.5
 SHARE_PER_S_MIN: Final = 0.5
 """Requests a second that a VM is dealt at least; fewer VMs share a lower limit."""
 
--- a/packages/cardamomtack/src/cardamomtack/limits/statements.py
+++ b/packages/cardamomtack/src/cardamomtack/limits/statements.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from math import inf
 
-from cardamomtack.limits.const import ENDED_KEPT_S
+from cardamomtack.limits.const import ENDED_KEPT_S, NOTICE_DELAY_S_MAX
 
 
 @dataclass(slots=True)
@@ -102,6 +102,22 @@
         self._statements[server_key].comes_with_checks = True
         return is_news
 
+    def apply_notice(
+        self, server_key: str, rate_per_s: float | None, heard_at_s: float
+    ) -> bool:
+        """Apply what another VM has heard; return whether it changes what is known.
+
+        How long it was on its way is not known. So what allows more passes over what
+        was heard at about the same time, and all VMs come to the stricter of two
+        statements until the server's next answer.
+        """
+        known = self._statements.get(server_key)
+        if known is not None and known.rate_per_s is not None:
+            is_looser = rate_per_s is None or rate_per_s > known.rate_per_s
+            if is_looser and heard_at_s < known.heard_at_s + NOTICE_DELAY_S_MAX:
+                return False
+        return self.apply_statement(server_key, rate_per_s, heard_at_s)
+
     def apply_statement(
         self, server_key: str, rate_per_s: float | None, heard_at_s: float
     ) -> bool:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/shared_limits.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/shared_limits.py
@@ -128,7 +128,7 @@
         news = []
         for limit in limits:
             heard_at_s = now_s - limit.age_ms / MS_PER_S
-            if self._coordinator.statements.apply_statement(
+            if self._coordinator.statements.apply_notice(
                 limit.server_key, limit.rate_per_s, heard_at_s
             ):
                 news.append(limit)
--- a/tests/cardamomtack/limits/fleet.py
+++ b/tests/cardamomtack/limits/fleet.py
@@ -137,7 +137,7 @@
         if known is None:
             return
         for one in known.coordinator.statements.list_statements():
-            vm.coordinator.statements.apply_statement(
+            vm.coordinator.statements.apply_notice(
                 one.server_key, one.rate_per_s, one.heard_at_s
             )
         vm.coordinator.share_limits()
@@ -209,7 +209,7 @@
         self._tick(vm)
 
         def hear(one: SimulatedVm) -> None:
-            one.coordinator.statements.apply_statement(key, rate_per_s, heard_at_s)
+            one.coordinator.statements.apply_notice(key, rate_per_s, heard_at_s)
             self._tick(one)
 
         self.tell(vm, hear)
--- a/tests/cardamomtack/limits/test_statements.py
+++ b/tests/cardamomtack/limits/test_statements.py
@@ -54,6 +54,22 @@
         self.assertTrue(self.statements.apply_statement(KEY, 3.0, 2.5))
         self.assertEqual(self.find(), 3.0)
 
+    def test_vms_that_hear_two_statements_at_once_come_to_the_same(self):
+        for first, second, both in ((2.0, 3.0, 2.0), (2.0, None, 2.0)):
+            with self.subTest(first=first, second=second):
+                vms = (LimitStatements(), LimitStatements())
+                for statements in vms:
+                    statements.apply_notice(KEY, 5.0, 0.0)
+                vms[0].record_answer(KEY, first, 9.9, 10.0)
+                vms[1].record_answer(KEY, second, 9.9, 10.005)
+                vms[0].apply_notice(KEY, second, 10.02)
+                vms[1].apply_notice(KEY, first, 10.02)
+                rates = [statements.find_rate_per_s(KEY) for statements in vms]
+                self.assertEqual(rates, [both, both])
+                vms[0].record_answer(KEY, second, 11.0, 11.2)
+                vms[1].apply_notice(KEY, second, 11.22)
+                self.assertEqual(vms[1].find_rate_per_s(KEY), second)
+
     def test_zero_is_a_limit(self):
         self.statements.record_answer(KEY, 0.0, 0.9, 1.0)
         self.assertEqual(self.find(), 0.0)
