Share limits no more at each request after a VM was idle

A VM that had no callers as the last limit ended stayed marked as idle, so that each later request worked the shares out anew, on the path of the request.

Now the mark goes with the limits. The new test failed before.

--- a/packages/cardamomtack/src/cardamomtack/limits/coordinator.py
+++ b/packages/cardamomtack/src/cardamomtack/limits/coordinator.py
@@ -86,6 +86,7 @@
         """
         if not self.statements.has_limits and not self._limited:
             self._beat_at_s = None
+            self.presence.is_idle = False
             return False
         is_idle = now_s - self._requested_at_s > IDLE_AFTER_S
         is_due = is_idle != self.presence.is_idle or self._beat_at_s is None
--- a/tests/cardamomtack/limits/test_shared_limits.py
+++ b/tests/cardamomtack/limits/test_shared_limits.py
@@ -143,6 +143,17 @@
                 used = sum(one >= warm_s for one in fleet.arrived_s)
                 self.assertGreater(used, 0.7 * fleet.calls_per_s * vms * 2.0)
 
+    def test_vm_that_was_idle_as_a_limit_ended_does_not_share_at_each_request(self):
+        fleet = SimulatedFleet(1, 2.0, 1)
+        fleet.run(2.0)
+        (vm,) = fleet.vms
+        vm.calls_per_s = 0.0
+        fleet.run(4.0)
+        self.assertTrue(vm.coordinator.presence.is_idle)
+        vm.coordinator.statements.apply_statement(vm.server.key, None, fleet.now_s)
+        fleet.run(2.0)
+        self.assertFalse(vm.coordinator.record_request(fleet.now_s))
+
     def test_share_of_a_vm_that_is_gone_is_used_by_the_others(self):
         for seed in range(6):
             with self.subTest(seed=seed):
