--- a/packages/cardamomtack/src/cardamomtack/limits/coordinator.py
+++ b/packages/cardamomtack/src/cardamomtack/limits/coordinator.py
@@ -79,8 +79,8 @@
         self._requested_at_s = now_s
         return self.presence.is_idle
 
-    def is_heartbeat_due(self, now_s: float) -> bool:
-        """Return whether the other VMs are to hear of this one, and count it as done.
+    def record_due_heartbeat(self, now_s: float) -> bool:
+        """Return whether a heartbeat is to be sent now, and record it as sent.
 
         Heartbeats are only sent while a server has a limit.
         """
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/shared_limits.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/shared_limits.py
@@ -169,7 +169,7 @@
         """
         if has_joined is not None:
             self._coordinator.has_joined = has_joined
-        if self._coordinator.is_heartbeat_due(self._clock.read_monotonic_s()):
+        if self._coordinator.record_due_heartbeat(self._clock.read_monotonic_s()):
             self._beats += 1
             own = self._own
             is_idle = self._coordinator.presence.is_idle
--- a/tests/cardamomtack/limits/fleet.py
+++ b/tests/cardamomtack/limits/fleet.py
@@ -184,7 +184,7 @@
 
     def _tick(self, vm: SimulatedVm) -> None:
         """Let a VM tell that it is there, and work out its shares."""
-        if vm.coordinator.is_heartbeat_due(self.now_s):
+        if vm.coordinator.record_due_heartbeat(self.now_s):
             vm.beats += 1
             beat = (vm.member.vm_id, vm.member.incarnation, vm.beats)
             is_idle = vm.coordinator.presence.is_idle
