Log from whom a configuration came and how old it is believed to be

Now a line of a request, also of one that no route matches, bears the version in force and the time since the store confirmed it; 'configuration in force' names its source, and each subscription is logged. 'cardamomtack explain' tells both ages.

--- a/packages/cardamomtack/src/cardamomtack/replicas/topic.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/topic.py
@@ -12,6 +12,7 @@
 from cardamomtack.generated.relay import TopicRecord, TopicRecords
 
 END_UNKNOWN = -1
+SOURCE_STORE = "store"
 START_NEWEST = -1
 
 ChangeListener = Callable[[list[TopicRecord]], None]
@@ -33,6 +34,8 @@
     ----------
     end : int
         Offset up to which all records are known; -1 before the first snapshot.
+    source : str
+        Who told the last records: the store, or the id of a VM.
     """
 
     __slots__ = (
@@ -43,6 +46,7 @@
         "_relays",
         "_values",
         "end",
+        "source",
         "topic",
     )
 
@@ -54,6 +58,7 @@
         self._relays: list[Callable[[TopicRecords], None]] = []
         self._values: dict[str, bytes] = {}
         self.end = END_UNKNOWN
+        self.source = SOURCE_STORE
         self.topic = topic
 
     def add_listener(self, listener: ChangeListener) -> None:
@@ -92,14 +97,20 @@
         ]
         return TopicRecords(self.topic, START_NEWEST, self.end, records)
 
-    def apply_records(self, page: TopicRecords) -> None:
+    def apply_records(self, page: TopicRecords, source: str = SOURCE_STORE) -> None:
         """Take a range of records, or the newest records of all keys.
 
+        Parameters
+        ----------
+        source : str
+            Who told them: the store, or the id of a VM.
+
         Raises
         ------
         TopicGapError
             When records before the range are missing here.
         """
+        self.source = source
         if page.start == START_NEWEST:
             self._apply_newest(page)
             return
--- a/packages/cardamomtack/src/cardamomtack/routing/coordinator.py
+++ b/packages/cardamomtack/src/cardamomtack/routing/coordinator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from loguru import logger
@@ -39,12 +40,20 @@
         Decodes records.
     routes : PrefixRoutes
         The routes in force.
+    read_source : callable
+        Returns who told the records, for the log.
     """
 
-    __slots__ = ("_codec", "_routes")
+    __slots__ = ("_codec", "_read_source", "_routes")
 
-    def __init__(self, codec: ConfigurationCodec, routes: PrefixRoutes) -> None:
+    def __init__(
+        self,
+        codec: ConfigurationCodec,
+        routes: PrefixRoutes,
+        read_source: Callable[[], str] = lambda: "",
+    ) -> None:
         self._codec = codec
+        self._read_source = read_source
         self._routes = routes
 
     def apply_records(self, records: list[TopicRecord]) -> None:
@@ -63,9 +72,11 @@
             if configuration is None:
                 continue
             if self._routes.apply_configuration(configuration):
-                logger.bind(version=configuration.version, offset=record.offset).info(
-                    "configuration in force"
-                )
+                logger.bind(
+                    version=configuration.version,
+                    offset=record.offset,
+                    source=self._read_source(),
+                ).info("configuration in force")
                 self._log_findings(configuration)
 
     def _log_findings(self, configuration: FleetConfiguration) -> None:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -49,7 +49,7 @@
     IDLE_MARGIN_S,
     MAINTENANCE_S,
 )
-from cardamomtack_daemon.forwarding.forwarder import Forwarder
+from cardamomtack_daemon.forwarding.forwarder import Forwarder, TopicAges
 from cardamomtack_daemon.forwarding.header_names import HeaderNames
 from cardamomtack_daemon.forwarding.placer import Placer
 from cardamomtack_daemon.forwarding.prober import ServerProber
@@ -187,7 +187,9 @@
         )
         configuration = TopicReplica(TOPIC_CONFIGURATION)
         configuration.add_listener(
-            RoutingCoordinator(codec, self._routes).apply_records
+            RoutingCoordinator(
+                codec, self._routes, lambda: configuration.source
+            ).apply_records
         )
         servers = TopicReplica(TOPIC_SERVERS)
         servers.add_listener(DiscoveryCoordinator(codec, self._registry).apply_records)
@@ -244,7 +246,7 @@
             self._limits,
             DecisionLog(self._writer, clock),
             self.memory,
-            self._read_servers_age_ms,
+            self._read_ages_ms,
         )
         self._caller_limits = ConnectionLimits(
             BODY_BYTES_MAX,
@@ -404,10 +406,13 @@
             return False
         return self._members.is_reader(self._clock.read_monotonic_s())
 
-    def _read_servers_age_ms(self) -> int:
-        """Return how long ago the store confirmed the servers, or -1 for never."""
-        age_s = self._replicas[-1].compute_age_s(self._clock.read_monotonic_s())
-        return int(age_s * MS_PER_S) if isfinite(age_s) else -1
+    def _read_ages_ms(self) -> TopicAges:
+        """Return how long ago the store confirmed what this VM knows."""
+        now_s = self._clock.read_monotonic_s()
+        ages_s = [one.compute_age_s(now_s) for one in self._replicas]
+        return TopicAges(
+            *(int(age_s * MS_PER_S) if isfinite(age_s) else -1 for age_s in ages_s)
+        )
 
     def _share_budgets(self) -> None:
         """Share the budgets of the fleet among the VMs that are known."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -4,6 +4,7 @@
 
 from asyncio import CancelledError
 from collections.abc import Callable
+from dataclasses import dataclass
 from math import inf
 from random import Random
 
@@ -56,12 +57,21 @@
 """For how long nobody must have been sent back to take all callers for new ones."""
 
 LEAVING_RETRY_AFTER_S = 0.05
+REASON_NO_ROUTE = "no route matches"
 UNBOUNDED_CALLER_S = 60.0
 """For how long a caller without a deadline takes a long answer."""
 
 UNCONFIGURED_RETRY_AFTER_S = 0.3
 
 
+@dataclass(slots=True, frozen=True)
+class TopicAges:
+    """Time since the store confirmed each topic, in milliseconds; -1 for never."""
+
+    configuration_ms: int
+    servers_ms: int
+
+
 class Forwarder:
     """Answers each request by at most one run, or more where that is allowed.
 
@@ -89,8 +99,8 @@
         Takes how requests ended.
     memory : BodyMemory
         Bounds what is kept of bodies.
-    read_servers_age_ms : callable
-        Returns how long ago the store confirmed the servers, in milliseconds.
+    read_ages_ms : callable
+        Returns how long ago the store confirmed what this VM knows.
 
     Attributes
     ----------
@@ -118,7 +128,7 @@
         "_names",
         "_placer",
         "_random",
-        "_read_servers_age_ms",
+        "_read_ages_ms",
         "_refused_at_s",
         "_returns",
         "_routes",
@@ -144,11 +154,11 @@
         limits: SharedLimits,
         decisions: DecisionLog,
         memory: BodyMemory,
-        read_servers_age_ms: Callable[[], int],
+        read_ages_ms: Callable[[], TopicAges],
     ) -> None:
         self._decisions = decisions
         self._memory = memory
-        self._read_servers_age_ms = read_servers_age_ms
+        self._read_ages_ms = read_ages_ms
         # Callers of before a start may come back to this VM.
         self._started_at_s = clock.read_monotonic_s()
         self._refused_at_s = self._started_at_s
@@ -214,7 +224,8 @@
             return build_problem(400, "request has no Host", OUTCOME_NOT_RUN)
         route = self._routes.find_route(host, request.target)
         if route is None:
-            return build_problem(404, "no route matches", OUTCOME_NOT_RUN)
+            self._log_unknown_route(request)
+            return build_problem(404, REASON_NO_ROUTE, OUTCOME_NOT_RUN)
         if route.fault is not None:
             return _write_refusal(route.fault, UNCONFIGURED_RETRY_AFTER_S)
         if self.is_refusing:
@@ -268,9 +279,27 @@
         self._log_decision(call, answer.status, reason)
         return answer, None
 
+    def _log_unknown_route(self, request: HttpRequest) -> None:
+        """Log that no route matches, with what this VM knew and since when."""
+        ages = self._read_ages_ms()
+        decision = RequestDecision(
+            request_id=(request.find_header(self._names.request_id) or b"").decode(
+                "latin-1"
+            ),
+            route="",
+            service="",
+            status=404,
+            reason=REASON_NO_ROUTE,
+            version=self._routes.version,
+            configuration_age_ms=ages.configuration_ms,
+            servers_age_ms=ages.servers_ms,
+        )
+        self._decisions.record_decision(decision, False)
+
     def _log_decision(self, call: ForwardedCall, status: int, reason: str) -> None:
         """Log how a call ended, and what decided it."""
         now_s = self._clock.read_monotonic_s()
+        ages = self._read_ages_ms()
         estimate_s = call.estimate_s
         is_first_send_success = (
             reason == SendOutcome.ANSWERED.value and len(call.sends) == 1
@@ -282,7 +311,8 @@
             status=status,
             reason=reason,
             version=self._routes.version,
-            servers_age_ms=self._read_servers_age_ms(),
+            configuration_age_ms=ages.configuration_ms,
+            servers_age_ms=ages.servers_ms,
             duration_ms=int((now_s - call.arrived_s) * MS_PER_S),
             deadline_left_ms=int((call.deadline_s - now_s) * MS_PER_S),
             estimate_ms=-1 if estimate_s is None else int(estimate_s * MS_PER_S),
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -196,6 +196,7 @@
         try:
             async with stream, create_task_group() as tasks:
                 tasks.start_soon(_async_write, queue, messages)
+                logger.bind(upstream=upstream.vm_id).info("hearing from upstream VM")
                 self._upstream = outbox
                 outbox.send_nowait(encode_frame(self._write_subscription()))
                 self._send_notices(outbox)
@@ -229,7 +230,7 @@
         began_s = self._clock.read_monotonic_s()
         while True:
             message = await messages.async_receive(SILENCE_S_MAX)
-            self._handle_message(message, outbox)
+            self._handle_message(message, outbox, upstream.vm_id)
             now_s = self._clock.read_monotonic_s()
             if message.freshness is not None:
                 if len(message.freshness.topics) == len(self._replicas):
@@ -251,8 +252,10 @@
                     return
                 tasks.start_soon(_async_write, queue, messages)
                 self._welcome(first.subscribe, outbox)
+                source = first.subscribe.member.vm_id
                 while True:
-                    self._handle_message(await messages.async_receive(None), outbox)
+                    message = await messages.async_receive(None)
+                    self._handle_message(message, outbox, source)
         except* RELAY_ERRORS:
             pass
         finally:
@@ -272,7 +275,9 @@
         outbox.send_nowait(encode_frame(self._write_freshness()))
         self._apply_members([subscribe.member], outbox)
 
-    def _handle_message(self, message: RelayMessage, source: Outbox) -> None:
+    def _handle_message(
+        self, message: RelayMessage, source: Outbox, vm_id: str
+    ) -> None:
         """Handle a message of another VM.
 
         Raises
@@ -283,7 +288,7 @@
         if message.records is not None:
             replica = self._replicas.get(message.records.topic)
             if replica is not None:
-                replica.apply_records(message.records)
+                replica.apply_records(message.records, vm_id)
         if message.freshness is not None:
             self._apply_freshness(message.freshness)
         if message.members is not None:
--- a/packages/cardamomtack_operator/src/cardamomtack_operator/story.py
+++ b/packages/cardamomtack_operator/src/cardamomtack_operator/story.py
@@ -68,11 +68,15 @@
         f"{request.route}, for service {request.service}, with version "
         f"{request.version} of the configuration in force."
     ]
-    age = "never" if request.servers_age_ms < 0 else f"{request.servers_age_ms} ms ago"
+    age = _tell_age(request.servers_age_ms)
+    configuration_age = _tell_age(request.configuration_age_ms)
     usable = (
         f"; {request.usable} of the service could get work" if request.usable else ""
     )
-    story.append(f"The store had confirmed the servers {age}{usable}.")
+    story.append(
+        f"The store had confirmed the configuration {configuration_age}, the servers "
+        f"{age}{usable}."
+    )
     if request.estimate_ms >= 0:
         story.append(
             f"The best of the {request.asked} that were asked was expected to take "
@@ -105,3 +109,8 @@
         f"The caller got {request.status} {when} its deadline, because: "
         f"{request.reason}."
     )
+
+
+def _tell_age(age_ms: int) -> str:
+    """Return in words how long ago something was, in milliseconds; -1 is never."""
+    return "never" if age_ms < 0 else f"{age_ms} ms ago"
