--- a/tests/cardamomtack_daemon/replicas/test_fleet.py
+++ b/tests/cardamomtack_daemon/replicas/test_fleet.py
@@ -16,6 +16,10 @@
 APPLY_S = 2.0
 """Bound of the users for a version to be in force everywhere, in seconds."""
 
+CALM_S = 3.0
+"""After how long without trouble of the store the users hold VMs to the bound."""
+
+LONG_OUTAGES_S = (9.4, 12.0, 13.5)
 WINDOW_S = 2.0
 WINDOWS_MAX = 10
 
@@ -39,6 +43,18 @@
             vm.configuration.changed.set()
             vm.configuration.changed = anyio.Event()
 
+    def silence(self, is_silent):
+        """Have the store answer no VM, or all again."""
+        for vm in self.vms:
+            vm.configuration.is_silent = is_silent
+            vm.entries.is_silent = is_silent
+
+    def list_upstreams(self):
+        """Return the id of the VM that each VM wants to hear from."""
+        now_s = time.monotonic()
+        upstreams = [vm.daemon._members.choose_upstream(now_s) for vm in self.vms]
+        return [upstream and upstream.vm_id for upstream in upstreams]
+
     async def async_run(self, number):
         """Run one VM until it is killed."""
         with self.scopes[number]:
@@ -159,13 +175,9 @@
 
     def test_version_after_an_outage_of_the_whole_store(self):
         async def scenario(fleet):
-            for vm in fleet.vms:
-                vm.configuration.is_silent = True
-                vm.entries.is_silent = True
+            fleet.silence(True)
             await anyio.sleep(4.0)
-            for vm in fleet.vms:
-                vm.configuration.is_silent = False
-                vm.entries.is_silent = False
+            fleet.silence(False)
             fleet.publish(2)
             # Reads of before end up to a second and a half later.
             with anyio.fail_after(APPLY_S + 1.5):
@@ -173,6 +185,33 @@
 
         self.play(scenario)
 
+    def test_version_is_late_after_the_store_was_silent_for_long(self):
+        async def play(length_s):
+            fleet = RelayFleet(9)
+            async with fleet.run():
+                fleet.silence(True)
+                await anyio.sleep(length_s)
+                fleet.silence(False)
+                fleet.publish(2)
+                with anyio.fail_after(CALM_S):
+                    await fleet.async_wait_in_force(fleet.vms)
+
+        async def run():
+            async with anyio.create_task_group() as tasks:
+                for length_s in LONG_OUTAGES_S:
+                    tasks.start_soon(play, length_s)
+
+        anyio.run(run, backend_options={"use_uvloop": True})
+
+    def test_outage_of_the_store_leaves_who_hears_from_whom(self):
+        async def scenario(fleet):
+            before = fleet.list_upstreams()
+            fleet.silence(True)
+            await anyio.sleep(LONG_OUTAGES_S[0])
+            self.assertEqual(fleet.list_upstreams(), before)
+
+        self.play(scenario, count=9)
+
     def test_outage_does_not_make_all_vms_press_the_store(self):
         async def scenario(fleet):
             for vm in fleet.vms:
