Let an outage of the store leave who hears from whom

Cause: a VM whose upstream VM had no fresh topic passed it over, also when it had none itself. That the store answers nobody says nothing about one VM. Now a VM is passed over for the store only when the store answers others, which this VM knows from a confirmation by somebody else. A VM that knows nothing fresh asks another VM each second, so that it finds those that the store answers, wherever it stands.

--- a/packages/cardamomtack/src/cardamomtack/replicas/members.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/members.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from math import ceil
+from random import Random
 
 from cardamomtack.generated.relay import Member
 from cardamomtack.replicas.const import (
@@ -77,7 +78,7 @@
     def mark_unreachable(self, vm_id: str, now_s: float) -> None:
         """Pass over a VM for a while, longer each time in a row.
 
-        It is silent, or the store does not answer it; this VM can be meant, too.
+        It is silent, or the store answers others but not it; this VM can be meant, too.
         """
         pause_s = min(DEAD_S_MAX, 2.0 * self._dead_s.get(vm_id, DEAD_S_MIN / 2.0))
         self._dead_s[vm_id] = pause_s
@@ -87,6 +88,11 @@
         """Return whether a VM is not passed over."""
         return self._dead_until_s.get(vm_id, 0.0) <= now_s
 
+    def choose_other(self, random: Random, upstream_id: str) -> Member | None:
+        """Return any VM but this one and the one it hears from, None without others."""
+        others = [one for one in self._members.values() if one.vm_id != upstream_id]
+        return random.choice(others) if others else None
+
     def choose_readers(self, now_s: float) -> list[Member]:
         """Return the VMs that read the store, the first one at the root.
 
--- a/packages/cardamomtack/src/cardamomtack/replicas/topic.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/topic.py
@@ -10,6 +10,7 @@
 from math import inf
 
 from cardamomtack.generated.relay import TopicRecord, TopicRecords
+from cardamomtack.replicas.const import STALE_AFTER_S
 
 END_UNKNOWN = -1
 SOURCE_STORE = "store"
@@ -41,6 +42,7 @@
     __slots__ = (
         "_confirmation_listeners",
         "_confirmed_at_s",
+        "_confirmed_by",
         "_listeners",
         "_offsets",
         "_relays",
@@ -53,6 +55,7 @@
     def __init__(self, topic: str) -> None:
         self._confirmation_listeners: list[Callable[[], None]] = []
         self._confirmed_at_s = -inf
+        self._confirmed_by = SOURCE_STORE
         self._listeners: list[ChangeListener] = []
         self._offsets: dict[str, int] = {}
         self._relays: list[Callable[[TopicRecords], None]] = []
@@ -73,11 +76,18 @@
         """Call a listener whenever the store has confirmed the replica anew."""
         self._confirmation_listeners.append(listener)
 
-    def confirm(self, at_s: float) -> None:
-        """Note that the store confirmed the replica as of a monotonic time."""
+    def confirm(self, at_s: float, source: str = SOURCE_STORE) -> None:
+        """Note that the store confirmed the replica as of a monotonic time.
+
+        Parameters
+        ----------
+        source : str
+            Who told: the store, or the id of a VM.
+        """
         if at_s <= self._confirmed_at_s:
             return
         self._confirmed_at_s = at_s
+        self._confirmed_by = source
         for listener in self._confirmation_listeners:
             listener()
 
@@ -89,6 +99,11 @@
         """Return the seconds since the store confirmed the replica."""
         return max(0.0, now_s - self._confirmed_at_s)
 
+    def is_fresh_without(self, source: str, now_s: float) -> bool:
+        """Return whether another source than a given one has confirmed it lately."""
+        is_fresh = self.compute_age_s(now_s) <= STALE_AFTER_S
+        return is_fresh and self._confirmed_by != source
+
     def build_newest_records(self) -> TopicRecords:
         """Return the newest record of each key."""
         records = [
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -206,7 +206,7 @@
             self._members, sources.members, random
         )
         self._replicas = [configuration, servers]
-        self._relay = TopicRelay(self._members, self._replicas, self, clock)
+        self._relay = TopicRelay(self._members, self._replicas, self, clock, random)
         self._readers = [
             TopicReader(
                 replica, source, self._is_reader, self._record_answer, clock, random
@@ -320,6 +320,7 @@
         )
         tasks.start_soon(self._async_join)
         tasks.start_soon(self._relay.async_subscribe)
+        tasks.start_soon(self._relay.async_ask_others)
         await tasks.start(self._callers.async_serve, settings.address, settings.port)
         tasks.start_soon(
             self._readiness.async_serve, settings.address, settings.ready_port
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/const.py
@@ -2,6 +2,9 @@
 
 from typing import Final
 
+ASK_PAUSE_S: Final = 1.0
+"""How often a VM that knows nothing fresh asks another one."""
+
 BACKOFF_S_MAX: Final = 2.5
 BACKOFF_S_MIN: Final = 0.15
 BATCH_S: Final = 0.2
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/reader.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/reader.py
@@ -10,7 +10,7 @@
 
 from cardamomtack.helpers.clock import Clock
 from cardamomtack.replicas.const import STALE_AFTER_S
-from cardamomtack.replicas.topic import END_UNKNOWN, TopicReplica
+from cardamomtack.replicas.topic import END_UNKNOWN, SOURCE_STORE, TopicReplica
 from cardamomtack_daemon.replicas.const import (
     BACKOFF_S_MAX,
     BACKOFF_S_MIN,
@@ -40,7 +40,8 @@
     is_reader : callable
         Returns whether others rely on this VM.
     record_answer : callable
-        Is told after each read whether the store answered.
+        Is told whether the store answers this VM: after each answer, and after each
+        failure while it answers others.
     clock : Clock
         Tells the time.
     random : Random
@@ -170,12 +171,14 @@
             logger.bind(topic=self._replica.topic, error=str(error)).warning(
                 "the store can't be read"
             )
-        self._record_answer(False)
+        now_s = self._clock.read_monotonic_s()
+        if self._replica.is_fresh_without(SOURCE_STORE, now_s):
+            self._record_answer(False)
         self._was_answered = False
-        self._timeout_s = min(READ_TIMEOUT_S_MAX, 1.5 * self._timeout_s)
         is_pressing = self._is_reader() or self._replica.end == END_UNKNOWN
-        longest_s = READER_BACKOFF_S_MAX if is_pressing else BACKOFF_S_MAX
-        self._backoff_s = min(longest_s, 2.0 * self._backoff_s)
+        self._timeout_s = min(READ_TIMEOUT_S_MAX, 1.5 * self._timeout_s)
+        backoff_s_max = READER_BACKOFF_S_MAX if is_pressing else BACKOFF_S_MAX
+        self._backoff_s = min(backoff_s_max, 2.0 * self._backoff_s)
         self._wake = Event()
         with move_on_after(self._backoff_s * self._random.uniform(0.5, 1.0)):
             await self._wake.wait()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from random import Random
 from typing import Protocol
 
 from anyio import (
@@ -16,6 +17,7 @@
     create_memory_object_stream,
     create_task_group,
     create_tcp_listener,
+    fail_after,
     move_on_after,
     sleep,
 )
@@ -47,6 +49,7 @@
     encode_frame,
 )
 from cardamomtack_daemon.replicas.const import (
+    ASK_PAUSE_S,
     DIAL_PAUSE_S,
     DIAL_TIMEOUT_S,
     FRESHNESS_GAP_S,
@@ -92,7 +95,8 @@
         Takes what other VMs tell.
     clock : Clock
         Tells the time.
-
+    random : Random
+        Chooses whom to ask.
     """
 
     __slots__ = (
@@ -101,9 +105,11 @@
         "_listener",
         "_members",
         "_notices",
+        "_random",
         "_replicas",
         "_subscribers",
         "_upstream",
+        "_upstream_id",
     )
 
     def __init__(
@@ -112,8 +118,10 @@
         replicas: list[TopicReplica],
         listener: FleetListener,
         clock: Clock,
+        random: Random,
     ) -> None:
         self._listener = listener
+        self._random = random
         self._clock = clock
         self._confirmed = Event()
         self._members = members
@@ -121,6 +129,7 @@
         self._replicas = {replica.topic: replica for replica in replicas}
         self._subscribers: set[Outbox] = set()
         self._upstream: Outbox | None = None
+        self._upstream_id = ""
         for replica in replicas:
             replica.add_records_listener(self._relay_records)
             replica.add_confirmation_listener(self._record_confirmation)
@@ -172,6 +181,45 @@
             if upstream is None or not await self._async_subscribe_to(upstream):
                 await sleep(DIAL_PAUSE_S)
 
+    async def async_ask_others(self) -> None:
+        """Ask one VM after the other what it knows, while this one knows nothing fresh.
+
+        The store may answer few VMs, and none of those from which this one hears.
+        """
+        while True:
+            await sleep(ASK_PAUSE_S)
+            if not self._is_stale(self._clock.read_monotonic_s()):
+                continue
+            other = self._members.choose_other(self._random, self._upstream_id)
+            if other is None:
+                continue
+            try:
+                await self._async_ask(other)
+            except RELAY_ERRORS as error:
+                logger.bind(vm=other.vm_id, error=repr(error)).debug("VM not heard")
+
+    async def _async_ask(self, other: Member) -> None:
+        """Take what a VM knows at the moment, up to how fresh it is.
+
+        Raises
+        ------
+        OSError
+            When it can't be reached.
+        TimeoutError
+            When it is silent.
+        """
+        with fail_after(DIAL_TIMEOUT_S):
+            stream = await connect_tcp(other.address, other.port)
+        async with stream:
+            messages = MessageStream(stream, RelayMessage)
+            subscription = self._write_subscription(wants_members=False)
+            await messages.async_send_frame(encode_frame(subscription))
+            is_told = False
+            while not is_told:
+                message = await messages.async_receive(SILENCE_S_MAX)
+                self._handle_message(message, None, other.vm_id)
+                is_told = message.freshness is not None
+
     async def _async_subscribe_to(self, upstream: Member) -> bool:
         """Subscribe to a VM and take what it says until it is silent.
 
@@ -198,6 +246,7 @@
                 tasks.start_soon(_async_write, queue, messages)
                 logger.bind(upstream=upstream.vm_id).info("hearing from upstream VM")
                 self._upstream = outbox
+                self._upstream_id = upstream.vm_id
                 outbox.send_nowait(encode_frame(self._write_subscription()))
                 self._send_notices(outbox)
                 await self._async_receive_messages(messages, outbox, upstream)
@@ -209,6 +258,7 @@
             self._mark_unreachable(upstream)
         finally:
             self._upstream = None
+            self._upstream_id = ""
         return self._members.is_reachable(
             upstream.vm_id, self._clock.read_monotonic_s()
         )
@@ -227,20 +277,32 @@
         TimeoutError
             When it is silent.
         """
-        began_s = self._clock.read_monotonic_s()
         while True:
             message = await messages.async_receive(SILENCE_S_MAX)
             self._handle_message(message, outbox, upstream.vm_id)
             now_s = self._clock.read_monotonic_s()
             if message.freshness is not None:
-                if len(message.freshness.topics) == len(self._replicas):
-                    self._members.mark_reachable(upstream.vm_id)
-                elif now_s - began_s > STALE_AFTER_S and self._is_stale(now_s):
-                    self._members.mark_unreachable(upstream.vm_id, now_s)
+                self._rate_upstream(upstream, message.freshness, now_s)
             best = self._members.choose_upstream(now_s)
             if best is None or best.vm_id != upstream.vm_id:
                 return
 
+    def _rate_upstream(
+        self, upstream: Member, freshness: Freshness, now_s: float
+    ) -> None:
+        """Pass over an upstream VM that the store does not answer while it does others.
+
+        When the store answers nobody, all go on to hear from whom they heard before.
+        """
+        told = {topic.topic for topic in freshness.topics}
+        if len(told) == len(self._replicas):
+            self._members.mark_reachable(upstream.vm_id)
+        elif any(
+            topic not in told and replica.is_fresh_without(upstream.vm_id, now_s)
+            for topic, replica in self._replicas.items()
+        ):
+            self._members.mark_unreachable(upstream.vm_id, now_s)
+
     async def _async_serve_subscriber(self, stream: SocketStream) -> None:
         """Serve one subscriber until its stream ends."""
         outbox, queue = create_memory_object_stream[bytes](OUTBOX_MAX)
@@ -264,8 +326,9 @@
     def _welcome(self, subscribe: Subscribe, outbox: Outbox) -> None:
         """Send a new subscriber what it does not know yet."""
         known = {one.topic: one.end for one in subscribe.positions}
-        members = Members(self._members.list_members())
-        outbox.send_nowait(encode_frame(RelayMessage(members=members)))
+        if subscribe.wants_members:
+            members = Members(self._members.list_members())
+            outbox.send_nowait(encode_frame(RelayMessage(members=members)))
         for topic, replica in self._replicas.items():
             if replica.end > known.get(topic, END_UNKNOWN):
                 message = RelayMessage(records=replica.build_newest_records())
@@ -276,7 +339,7 @@
         self._apply_members([subscribe.member], outbox)
 
     def _handle_message(
-        self, message: RelayMessage, source: Outbox, vm_id: str
+        self, message: RelayMessage, source: Outbox | None, vm_id: str
     ) -> None:
         """Handle a message of another VM.
 
@@ -290,7 +353,7 @@
             if replica is not None:
                 replica.apply_records(message.records, vm_id)
         if message.freshness is not None:
-            self._apply_freshness(message.freshness)
+            self._apply_freshness(message.freshness, vm_id)
         if message.members is not None:
             self._apply_members(message.members.members, source)
         if message.crash is not None:
@@ -301,21 +364,21 @@
         if heartbeat is not None and self._listener.apply_heartbeat(heartbeat):
             self._forward(message, source)
 
-    def _apply_freshness(self, freshness: Freshness) -> None:
-        """Apply what an upstream VM says of the age of its topics."""
+    def _apply_freshness(self, freshness: Freshness, vm_id: str) -> None:
+        """Apply what another VM says of the age of its topics."""
         now_s = self._clock.read_monotonic_s()
         for topic in freshness.topics:
             replica = self._replicas.get(topic.topic)
             if replica is not None and replica.end >= topic.end:
-                replica.confirm(now_s - topic.age_ms / MS_PER_S)
+                replica.confirm(now_s - topic.age_ms / MS_PER_S, vm_id)
 
-    def _apply_members(self, members: list[Member], source: Outbox) -> None:
+    def _apply_members(self, members: list[Member], source: Outbox | None) -> None:
         """Apply news of VMs and forward what is new."""
         new = [member for member in members if self._members.update_member(member)]
         if new:
             self._forward(RelayMessage(members=Members(new)), source)
 
-    def _apply_limits(self, limits: list[ServerLimit], source: Outbox) -> None:
+    def _apply_limits(self, limits: list[ServerLimit], source: Outbox | None) -> None:
         """Apply limits of servers and forward what is new."""
         new = self._listener.apply_limits(limits)
         if new:
@@ -395,13 +458,14 @@
             for replica in self._replicas.values()
         )
 
-    def _write_subscription(self) -> RelayMessage:
-        """Return the first message to an upstream VM."""
+    def _write_subscription(self, wants_members: bool = True) -> RelayMessage:
+        """Return the first message to another VM."""
         positions = [
             TopicPosition(topic, replica.end)
             for topic, replica in self._replicas.items()
         ]
-        return RelayMessage(subscribe=Subscribe(self._members.own, positions))
+        subscribe = Subscribe(self._members.own, positions, wants_members)
+        return RelayMessage(subscribe=subscribe)
 
     def _write_freshness(self) -> RelayMessage:
         """Return the heartbeat; topics that are stale here are left out."""
