Have a reader wait no longer for the store than its callers can

Now the readers, for whom all wait, give a read up after 1.2 s at most; the others still wait up to 4 s, so that a store that is that slow is read. A VM that need not read forgets what trouble taught it, and its old connection.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/const.py
@@ -16,6 +16,9 @@
 OUTBOX_MAX: Final = 512
 POLL_WAIT_S: Final = 1.0
 READER_BACKOFF_S_MAX: Final = 0.6
+READER_TIMEOUT_S_MAX: Final = 1.2
+"""Bounds how long after an outage of the store a reader still waits for an old answer."""
+
 READ_TIMEOUT_S: Final = 0.8
 READ_TIMEOUT_S_MAX: Final = 4.0
 SILENCE_S_MAX: Final = 1.1
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/reader.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/reader.py
@@ -20,6 +20,7 @@
     READ_TIMEOUT_S,
     READ_TIMEOUT_S_MAX,
     READER_BACKOFF_S_MAX,
+    READER_TIMEOUT_S_MAX,
 )
 from cardamomtack_daemon.replicas.source import (
     RecordsDeletedError,
@@ -94,7 +95,7 @@
         """Read until cancelled; trouble of the store never ends it."""
         while True:
             if not self._is_needed():
-                self._was_answered = False
+                self._rest()
                 await sleep(NEED_CHECK_S)
                 continue
             try:
@@ -112,9 +113,15 @@
     def refresh(self) -> None:
         """Read anew at once, on a new connection, after the process stood still."""
         self._replica.clear_confirmation()
+        self._rest()
+        self._wake.set()
+
+    def _rest(self) -> None:
+        """Begin the next read as the first one: trouble of before says nothing then."""
         self._source.close()
         self._backoff_s = BACKOFF_S_MIN
-        self._wake.set()
+        self._timeout_s = READ_TIMEOUT_S
+        self._was_answered = False
 
     def _is_needed(self) -> bool:
         """Return whether the topic is read here."""
@@ -176,7 +183,8 @@
             self._record_answer(False)
         self._was_answered = False
         is_pressing = self._is_reader() or self._replica.end == END_UNKNOWN
-        self._timeout_s = min(READ_TIMEOUT_S_MAX, 1.5 * self._timeout_s)
+        timeout_s_max = READER_TIMEOUT_S_MAX if is_pressing else READ_TIMEOUT_S_MAX
+        self._timeout_s = min(timeout_s_max, 1.5 * self._timeout_s)
         backoff_s_max = READER_BACKOFF_S_MAX if is_pressing else BACKOFF_S_MAX
         self._backoff_s = min(backoff_s_max, 2.0 * self._backoff_s)
         self._wake = Event()
