--- a/tests/cardamomtack_daemon/forwarding/memory.py
+++ b/tests/cardamomtack_daemon/forwarding/memory.py
@@ -15,7 +15,7 @@
     RoutePolicy,
     WeightedService,
 )
-from cardamomtack_daemon.replicas.source import StoreError
+from cardamomtack_daemon.replicas.source import RecordsDeletedError, StoreError
 from tests.cardamomtack_daemon.forwarding.callers import HOST
 from tests.cardamomtack_daemon.forwarding.servers import SERVICE
 
@@ -45,6 +45,10 @@
         self.changed.set()
         self.changed = anyio.Event()
 
+    def restore(self, records: list[TopicRecord]) -> None:
+        """Go back to a copy."""
+        self.records = list(records)
+
     async def async_read_newest(self, timeout_s: float) -> TopicRecords:
         await self._async_begin(timeout_s)
         newest = {record.key: record for record in self.records}
@@ -55,6 +59,8 @@
         self, offset: int, wait_s: float, timeout_s: float
     ) -> TopicRecords:
         await self._async_begin(wait_s + timeout_s)
+        if offset > len(self.records):
+            raise RecordsDeletedError("gone")
         if offset >= len(self.records) and wait_s > 0:
             with anyio.move_on_after(wait_s):
                 await self.changed.wait()
--- a/tests/cardamomtack_daemon/replicas/test_fleet.py
+++ b/tests/cardamomtack_daemon/replicas/test_fleet.py
@@ -10,7 +10,11 @@
 
 from cardamomtack.routing.policy import Repeatability
 from tests.cardamomtack_daemon.forwarding.case import EntryVm, async_wait_for
-from tests.cardamomtack_daemon.forwarding.memory import make_configuration, make_route
+from tests.cardamomtack_daemon.forwarding.memory import (
+    ROUTES,
+    make_configuration,
+    make_route,
+)
 from tests.cardamomtack_daemon.forwarding.servers import ScriptedServer
 
 APPLY_S = 2.0
@@ -43,6 +47,15 @@
             vm.configuration.changed.set()
             vm.configuration.changed = anyio.Event()
 
+    async def async_restore(self, copy):
+        """Have the store come back from a copy after it was away for a moment."""
+        self.silence(True)
+        await anyio.sleep(0.3)
+        for vm in self.vms:
+            vm.configuration.restore(copy)
+            vm.configuration.records = self.vms[0].configuration.records
+        self.silence(False)
+
     def silence(self, is_silent):
         """Have the store answer no VM, or all again."""
         for vm in self.vms:
@@ -203,6 +216,22 @@
 
         anyio.run(run, backend_options={"use_uvloop": True})
 
+    def test_change_after_a_restore_of_the_store_is_never_in_force(self):
+        async def scenario(fleet):
+            copy = list(fleet.vms[0].configuration.records)
+            for version in (2, 3, 4):
+                fleet.publish(version, ROUTES)
+            await anyio.sleep(0.5)
+            await fleet.async_restore(copy)
+            await anyio.sleep(1.0)
+            fleet.publish(4, ROUTES)
+            await anyio.sleep(1.0)
+            fleet.publish(5)
+            with anyio.fail_after(APPLY_S):
+                await fleet.async_wait_in_force(fleet.vms)
+
+        self.play(scenario)
+
     def test_outage_of_the_store_leaves_who_hears_from_whom(self):
         async def scenario(fleet):
             before = fleet.list_upstreams()
