Register a VM again at a store that has lost its record

A VM that had started in the seconds that a restore takes away was unknown to each VM that started after it, for good: nobody writes such a record but its own VM, and that did so once. Seen by a test with three VMs, which failed before (the record was not back within 5 s); no rule was seen broken by it.

Now the VMs look for their own record when the store has another history, spread over two seconds, and write it when it is missing. One that has left does not.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -209,6 +209,8 @@
             self._members, sources.members, random
         )
         self._replicas = [configuration, servers]
+        for replica in self._replicas:
+            replica.add_history_listener(self._membership.mark_restored)
         self._relay = TopicRelay(self._members, self._replicas, self, clock, random)
         self._readers = [
             TopicReader(
@@ -332,9 +334,10 @@
         tasks.start_soon(async_watch_clock, self._wake)
 
     async def _async_join(self) -> None:
-        """Learn of the other VMs, and share the budgets of the fleet with them."""
+        """Learn of the other VMs, share the budgets with them, and stay known."""
         await self._membership.async_join()
         self._share_budgets()
+        await self._membership.async_keep_joined()
 
     async def _async_maintain(self) -> None:
         """Drop what has grown old."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/registration.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/registration.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from anyio import move_on_after, sleep
+from anyio import Event, move_on_after, sleep
 from loguru import logger
 from msgspec import DecodeError, ValidationError, msgpack
 
@@ -18,6 +18,8 @@
 from cardamomtack_daemon.replicas.source import MemberDirectory, StoreError
 
 LEAVE_TIMEOUT_S = 1.0
+RESTORE_SPREAD_S = 2.0
+"""Over how long the VMs look for their records after a restore of the store."""
 
 
 class MembershipRegistration:
@@ -41,41 +43,75 @@
         Whether the VMs that the store knows are known here.
     """
 
-    __slots__ = ("_directory", "_members", "_random", "has_joined")
+    __slots__ = (
+        "_directory",
+        "_has_left",
+        "_members",
+        "_random",
+        "_restored",
+        "has_joined",
+    )
 
     def __init__(
         self, members: MemberTable, directory: MemberDirectory, random: Random
     ) -> None:
         self._directory = directory
+        self._has_left = False
         self._members = members
         self._random = random
+        self._restored = Event()
         self.has_joined = False
 
+    def mark_restored(self) -> None:
+        """Note that the store has come back from a copy, which may lack this VM."""
+        self._restored.set()
+
+    async def async_keep_joined(self) -> None:
+        """Join again after each restore of the store, until cancelled."""
+        while True:
+            await self._restored.wait()
+            await sleep(self._random.uniform(0.0, RESTORE_SPREAD_S))
+            self._restored = Event()
+            await self._async_join(is_written=True)
+
     async def async_join(self) -> None:
         """Write and read once, as soon as the store allows it."""
+        await self._async_join(is_written=False)
+
+    async def _async_join(self, is_written: bool) -> None:
+        """Read the records of all VMs, and write that of this one while it is missing.
+
+        Parameters
+        ----------
+        is_written : bool
+            Whether the record of this VM is probably there.
+        """
         own = self._members.own
         record = msgpack.encode(own)
         backoff_s = BACKOFF_S_MIN
-        is_written = False
-        while True:
+        while not self._has_left:
             try:
                 if not is_written:
                     await self._directory.async_write_member(
                         own.vm_id, record, READ_TIMEOUT_S
                     )
                     is_written = True
-                self._take(await self._directory.async_read_members(READ_TIMEOUT_S))
+                records = await self._directory.async_read_members(READ_TIMEOUT_S)
             except StoreError as error:
                 logger.bind(error=str(error)).warning("VMs can't be read")
-                await sleep(backoff_s * self._random.uniform(0.5, 1.0))
-                backoff_s = min(BACKOFF_S_MAX, 2.0 * backoff_s)
             else:
-                self.has_joined = True
-                logger.bind(vms=self._members.count).info("VMs are known")
-                return
+                self._take(records)
+                is_written = record in records
+                if is_written:
+                    self.has_joined = True
+                    logger.bind(vms=self._members.count).info("VMs are known")
+                    return
+            await sleep(backoff_s * self._random.uniform(0.5, 1.0))
+            backoff_s = min(BACKOFF_S_MAX, 2.0 * backoff_s)
 
     async def async_leave(self) -> None:
         """Remove the record of this VM; one that stays is passed over by the others."""
+        self._has_left = True
         try:
             with move_on_after(LEAVE_TIMEOUT_S):
                 await self._directory.async_write_member(
