Soak restores of the store

The store of the soak comes back from a copy up to 4 s old after up to a second away, and what was lost is written again within a second, beside all other faults.

--- a/tests/cardamomtack_daemon/forwarding/case.py
+++ b/tests/cardamomtack_daemon/forwarding/case.py
@@ -15,7 +15,6 @@
 from cardamomtack.discovery.entry import ServerEntry
 from cardamomtack.helpers.clock import SystemClock
 from cardamomtack.placing.server import LoadReport
-from cardamomtack.replicas.topic import Unordered
 from cardamomtack.routing.policy import FleetConfiguration
 from cardamomtack_daemon.forwarding.daemon import EntryDaemon, StoreSources
 from cardamomtack_daemon.forwarding.header_names import HeaderNames
@@ -29,6 +28,7 @@
     CallerAnswer,
 )
 from tests.cardamomtack_daemon.forwarding.memory import (
+    EntryOrder,
     MemoryCodec,
     MemoryMembers,
     MemoryTopic,
@@ -81,8 +81,8 @@
         self.configuration = MemoryTopic("configuration")
         self.entries = MemoryTopic("servers")
         if store:
-            self.configuration.records = store.configuration.records
-            self.entries.records = store.entries.records
+            self.configuration.log = store.configuration.log
+            self.entries.log = store.entries.log
         self.members = store.members if store else MemoryMembers()
         port, ready_port, relay_port = find_free_ports(3)
         self.settings = EntrySettings(
@@ -106,7 +106,7 @@
             self.entries,
             self.members,
             VersionOrder(self.codec),
-            Unordered(),
+            EntryOrder(self.codec),
         )
         self.daemon = EntryDaemon(
             self.settings,
--- a/tests/cardamomtack_daemon/forwarding/memory.py
+++ b/tests/cardamomtack_daemon/forwarding/memory.py
@@ -20,11 +20,32 @@
 from tests.cardamomtack_daemon.forwarding.servers import SERVICE
 
 
+class MemoryLog:
+    """The records of a topic, as all VMs of a test find them.
+
+    Attributes
+    ----------
+    history : int
+        Grows each time that the store comes back from a copy.
+    """
+
+    def __init__(self) -> None:
+        self.history = 1
+        self.records: list[TopicRecord] = []
+
+    def restore(self, records: list[TopicRecord]) -> None:
+        """Go back to a copy."""
+        self.records = list(records)
+        self.history += 1
+
+
 class MemoryTopic:
     """A topic that a test writes.
 
     Attributes
     ----------
+    log : MemoryLog
+        Its records; several VMs may share them.
     is_out : bool
         Whether reads fail at once.
     is_silent : bool
@@ -33,10 +54,9 @@
 
     def __init__(self, topic: str) -> None:
         self.topic = topic
-        self.records: list[TopicRecord] = []
+        self.log = MemoryLog()
         self.is_out = False
         self.is_silent = False
-        self.history = 1
         self.reads = 0
         self.changed = anyio.Event()
 
@@ -46,17 +66,17 @@
         self.changed.set()
         self.changed = anyio.Event()
 
-    def restore(self, records: list[TopicRecord]) -> None:
-        """Go back to a copy."""
-        self.records = list(records)
-        self.history += 1
+    @property
+    def records(self) -> list[TopicRecord]:
+        """Return the records of now."""
+        return self.log.records
 
     async def async_read_newest(self, timeout_s: float) -> TopicRecords:
         await self._async_begin(timeout_s)
         newest = {record.key: record for record in self.records}
         records = [record for record in newest.values() if record.value]
         return TopicRecords(
-            self.topic, START_NEWEST, len(self.records), records, self.history
+            self.topic, START_NEWEST, len(self.records), records, self.log.history
         )
 
     async def async_read_from(
@@ -69,7 +89,11 @@
             with anyio.move_on_after(wait_s):
                 await self.changed.wait()
         return TopicRecords(
-            self.topic, offset, len(self.records), self.records[offset:], self.history
+            self.topic,
+            offset,
+            len(self.records),
+            self.records[offset:],
+            self.log.history,
         )
 
     def close(self) -> None:
@@ -121,6 +145,18 @@
         return None if configuration is None else (configuration.version,)
 
 
+class EntryOrder:
+    """The order of entries of a test: the incarnation, and when they were written."""
+
+    def __init__(self, codec: MemoryCodec) -> None:
+        self.keeps_absent = False
+        self._codec = codec
+
+    def read_order(self, record: TopicRecord) -> tuple[int, ...] | None:
+        entry = self._codec.decode_entry(record)
+        return None if entry is None else (entry.incarnation, int(record.value))
+
+
 class MemoryCodec:
     """Finds the objects that stand behind the records of a test."""
 
--- a/tests/cardamomtack_daemon/replicas/test_fleet.py
+++ b/tests/cardamomtack_daemon/replicas/test_fleet.py
@@ -51,9 +51,7 @@
         """Have the store come back from a copy after it was away for a moment."""
         self.silence(True)
         await anyio.sleep(0.3)
-        for vm in self.vms:
-            vm.configuration.restore(copy)
-            vm.configuration.records = self.vms[0].configuration.records
+        self.vms[0].configuration.log.restore(copy)
         self.silence(False)
 
     def silence(self, is_silent):
--- a/tests/cardamomtack_daemon/replicas/test_soak.py
+++ b/tests/cardamomtack_daemon/replicas/test_soak.py
@@ -24,6 +24,7 @@
 
 CALL_ERRORS = (OSError, anyio.BrokenResourceError, TimeoutError)
 CALLS_PER_S = 50.0
+COPY_AGE_S_MAX = 4.0
 DEADLINE_MS = 1500
 DRAIN_S_MAX = 4.0
 """Work that comes later than this after an entry says draining breaks a promise."""
@@ -54,6 +55,7 @@
     "short",
     "unsigned",
 )
+WRITTEN_AGAIN_S_MAX = 1.0
 STALE = b"HTTP/1.1 503 X\r\ntest-not-run: 1\r\ncontent-length: 0\r\n\r\n"
 
 
@@ -236,6 +238,7 @@
             self.async_crash_server,
             self.async_drain_server,
             self.async_cut_store,
+            self.async_restore_store,
             self.async_kill_vm,
             self.async_stop_vm,
             self.async_publish,
@@ -296,6 +299,37 @@
             setattr(vm.configuration, kind, False)
             setattr(vm.entries, kind, False)
 
+    async def async_restore_store(self) -> None:
+        """Bring the store back from a copy; what was lost is written again."""
+        logs = [self.store.configuration.log, self.store.entries.log]
+        copies = [list(log.records) for log in logs]
+        await anyio.sleep(self.random.uniform(0.5, COPY_AGE_S_MAX))
+        away_s = self.random.uniform(0.0, 1.0)
+        again_s = self.random.uniform(0.0, WRITTEN_AGAIN_S_MAX)
+        until_s = anyio.current_time() + away_s + again_s
+        for server in self.servers:
+            server.drains_at_s = max(server.drains_at_s, until_s)
+        vms = list(self.vms)
+        self.set_silent(vms, True)
+        await anyio.sleep(away_s)
+        for log, copy in zip(logs, copies, strict=True):
+            log.restore(copy)
+        self.set_silent(vms, False)
+        await anyio.sleep(again_s)
+        self.store.publish(make_configuration(self.version, ROUTES))
+        for server in self.servers:
+            entry = server.make_entry(
+                is_draining=server.drains_at_s < float("inf"),
+                incarnation=server.incarnation,
+            )
+            self.store.register(entry)
+
+    def set_silent(self, vms: list[EntryVm], is_silent: bool) -> None:
+        """Let the store ignore some VMs, or answer them."""
+        for vm in vms:
+            vm.configuration.is_silent = is_silent
+            vm.entries.is_silent = is_silent
+
     async def async_kill_vm(self) -> None:
         """Kill a VM and start it again."""
         number = self.random.randrange(1, VMS)
