Let odd records of other writers harm only themselves

One entry among those of the servers with deep nesting, a port or address of thousands of digits, or a configuration with a deeply nested member or a whole number too large ended the process of each VM that read it, again after each restart, so callers found no VM. Other odd values were taken: a start or count of 400 digits hid the true entries for good, a key with a line break went into the head of a request, a health path with one too, a member with port 70000 ended the task that connects.

Cause: each reader caught the errors that it had been seen to raise, and a type was taken for a range. Now one module says what a decoder raises and which numbers, ports and texts can be used, and all readers of what comes from outside use it: entries, configurations, pages of the store, records and messages of VMs, header fields of servers and callers, settings, and the own interface. Odd entries write one line a page, not one each.

--- a/packages/cardamomtack/src/cardamomtack/balancing/metrics_header.py
+++ b/packages/cardamomtack/src/cardamomtack/balancing/metrics_header.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from msgspec import DecodeError, Struct, ValidationError, json
+from msgspec import Struct, json
+
+from cardamomtack.helpers.decoding import DECODE_ERRORS
 
 JSON_PREFIX = b"JSON "
 
@@ -38,5 +40,5 @@
     """Return the load report of a header value, or None when it is malformed."""
     try:
         return json.decode(value.removeprefix(JSON_PREFIX), type=LoadMetrics)
-    except (DecodeError, ValidationError):
+    except DECODE_ERRORS:
         return None
--- a/packages/cardamomtack/src/cardamomtack/claims/coordinator.py
+++ b/packages/cardamomtack/src/cardamomtack/claims/coordinator.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from msgspec import DecodeError, ValidationError, msgpack
+from msgspec import msgpack
 
 from cardamomtack.claims.const import OUTCOME_GATHER_INTERVALS
 from cardamomtack.claims.local_claim import ClaimState, LocalClaim
@@ -19,6 +19,7 @@
     LogRecord,
 )
 from cardamomtack.helpers.clock import Clock
+from cardamomtack.helpers.decoding import DECODE_ERRORS
 
 
 class ClaimRefusal(Enum):
@@ -222,7 +223,7 @@
         """Take one record; one that can't be read is passed over."""
         try:
             record = msgpack.decode(data, type=LogRecord).claims
-        except (DecodeError, ValidationError):
+        except DECODE_ERRORS:
             record = None
         if record is None:
             self.table.skip_record(offset)
--- a/packages/cardamomtack/src/cardamomtack/configuration/coordinator.py
+++ b/packages/cardamomtack/src/cardamomtack/configuration/coordinator.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from functools import lru_cache
 
-from msgspec import DecodeError, ValidationError, msgpack
+from msgspec import msgpack
 from returns.result import Success
 
 from cardamomtack.configuration.document import parse_configuration
@@ -17,6 +17,7 @@
 from cardamomtack.generated.configuration import ConfigurationDocument
 from cardamomtack.generated.peer import Snapshot
 from cardamomtack.generated.records import CheckpointRecord, LogRecord, PublishRecord
+from cardamomtack.helpers.decoding import DECODE_ERRORS
 
 
 @lru_cache(maxsize=2)
@@ -73,7 +74,7 @@
         """Take one record of the stream; one that can't be read is passed over."""
         try:
             record = msgpack.decode(data, type=LogRecord)
-        except (DecodeError, ValidationError):
+        except DECODE_ERRORS:
             self.fold.skip_record(offset)
             return
         if record.publish is not None:
@@ -88,7 +89,7 @@
         """Adopt the configuration of a peer when it is newer."""
         try:
             publish = msgpack.decode(snapshot.publish, type=PublishRecord)
-        except (DecodeError, ValidationError):
+        except DECODE_ERRORS:
             return
         if decode_document(publish) is None:
             return
--- a/packages/cardamomtack/src/cardamomtack/discovery/coordinator.py
+++ b/packages/cardamomtack/src/cardamomtack/discovery/coordinator.py
@@ -10,6 +10,8 @@
 from cardamomtack.discovery.registry import ServerRegistry
 from cardamomtack.generated.relay import TopicRecord
 
+KEYS_LOGGED_MAX = 5
+
 
 class EntryCodec(Protocol):
     """Decodes the records of servers."""
@@ -37,13 +39,18 @@
 
     def apply_records(self, records: list[TopicRecord]) -> None:
         """Take records; one that can't be read leaves what is known."""
+        odd_keys = []
         for record in records:
             if not record.value:
                 self._registry.remove_entry(record.key)
                 continue
             entry = self._codec.decode_entry(record)
             if entry is None:
-                logger.bind(key=record.key).warning("an entry can't be used")
+                odd_keys.append(record.key)
                 continue
             self._registry.apply_entry(entry)
         self._registry.is_known = True
+        if odd_keys:
+            logger.bind(keys=odd_keys[:KEYS_LOGGED_MAX], count=len(odd_keys)).warning(
+                "entries can't be used"
+            )
--- a/packages/cardamomtack/src/cardamomtack/replicas/members.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/members.py
@@ -10,10 +10,12 @@
 
 from __future__ import annotations
 
+from ipaddress import AddressValueError, IPv4Address
 from math import ceil
 from random import Random
 
 from cardamomtack.generated.relay import Member
+from cardamomtack.helpers.decoding import PORT_MAX, TEXT_LENGTH_MAX, is_token
 from cardamomtack.replicas.const import (
     DEAD_S_MAX,
     DEAD_S_MIN,
@@ -51,7 +53,7 @@
 
     def update_member(self, member: Member) -> bool:
         """Take news of a VM and return whether they are new."""
-        if member.vm_id == self.own.vm_id:
+        if member.vm_id == self.own.vm_id or not _is_sound(member):
             return False
         run = (member.vm_id, member.incarnation)
         known = self._members.get(member.vm_id)
@@ -156,3 +158,16 @@
         for member in sorted(alive, key=lambda one: one.vm_id):
             zones.setdefault(member.availability_zone, []).append(member)
         return zones
+
+
+def _is_sound(member: Member) -> bool:
+    """Return whether a VM can be connected to, and named in a log."""
+    try:
+        IPv4Address(member.address)
+    except AddressValueError:
+        return False
+    return (
+        0 < member.port <= PORT_MAX
+        and is_token(member.vm_id)
+        and len(member.availability_zone) <= TEXT_LENGTH_MAX
+    )
--- a/packages/cardamomtack/src/cardamomtack/services/log_service.py
+++ b/packages/cardamomtack/src/cardamomtack/services/log_service.py
@@ -6,9 +6,10 @@
 from typing import Protocol
 
 from httpx import AsyncClient, ConnectError, ConnectTimeout, HTTPError
-from msgspec import DecodeError, ValidationError, msgpack
+from msgspec import msgpack
 
 from cardamomtack.generated.services import AppendReply, ReadReply
+from cardamomtack.helpers.decoding import DECODE_ERRORS
 
 APPEND_TIMEOUT_S = 3.0
 CONNECT_TIMEOUT_S = 1.0
@@ -116,7 +117,7 @@
             raise AppendOutcomeUnknownError(f"append got status {response.status_code}")
         try:
             return msgpack.decode(response.content, type=AppendReply).offset
-        except (DecodeError, ValidationError) as error:
+        except DECODE_ERRORS as error:
             raise AppendOutcomeUnknownError(
                 f"append got a malformed answer: {error}"
             ) from error
@@ -138,7 +139,7 @@
         try:
             reply = msgpack.decode(response.content, type=ReadReply)
             records = [(int(pair[0]), bytes(pair[1])) for pair in reply.records]
-        except (DecodeError, ValidationError, IndexError, TypeError) as error:
+        except (IndexError, TypeError, *DECODE_ERRORS) as error:
             raise LogUnavailableError(
                 f"read got a malformed answer: {error}"
             ) from error
--- a/packages/cardamomtack/src/cardamomtack/services/vm_list.py
+++ b/packages/cardamomtack/src/cardamomtack/services/vm_list.py
@@ -5,9 +5,10 @@
 from typing import Protocol
 
 from httpx import AsyncClient, HTTPError
-from msgspec import DecodeError, ValidationError, json
+from msgspec import json
 
 from cardamomtack.generated.services import VirtualMachine
+from cardamomtack.helpers.decoding import DECODE_ERRORS
 
 TIMEOUT_S = 2.0
 
@@ -52,5 +53,5 @@
             response = await self._client.get(self._url, timeout=TIMEOUT_S)
             response.raise_for_status()
             return json.decode(response.content, type=list[VirtualMachine])
-        except (HTTPError, DecodeError, ValidationError) as error:
+        except (HTTPError, *DECODE_ERRORS) as error:
             raise VmListUnavailableError(repr(error)) from error
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -12,6 +12,7 @@
 
 from cardamomtack.generated.logs import RequestDecision
 from cardamomtack.helpers.clock import MS_PER_S, Clock
+from cardamomtack.helpers.decoding import parse_count
 from cardamomtack.limits.returns import ReturnSchedule
 from cardamomtack.placing.admission import (
     CallerTimes,
@@ -238,8 +239,9 @@
         caller_s = UNBOUNDED_CALLER_S
         waited_s = 0.0
         deadline_ms = request.find_header(self._names.deadline_ms)
-        if deadline_ms is not None and deadline_ms.isdigit():
-            caller_s = int(deadline_ms) / MS_PER_S
+        caller_ms = parse_count(deadline_ms) if deadline_ms is not None else None
+        if caller_ms is not None:
+            caller_s = caller_ms / MS_PER_S
             wait_s = min(wait_s, caller_s)
             waited_s = self._estimate_waited_s(request, route.name, caller_s, now_s)
         return ForwardedCall(
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
@@ -8,6 +8,7 @@
 from anyio import Event, create_task_group, move_on_after
 
 from cardamomtack.helpers.clock import MS_PER_S, Clock
+from cardamomtack.helpers.decoding import parse_count
 from cardamomtack.measuring.pacer import ProbeLimiter
 from cardamomtack.placing.server import ServerView, ServiceView
 from cardamomtack_daemon.forwarding.const import (
@@ -297,9 +298,10 @@
     def _record_warm_up(self, server: ServerView, answer: HttpAnswer) -> None:
         """Record that a server warms up, as one may do again at any moment."""
         value = answer.find_header(self._names.warm_up_ms)
-        if value is not None and value.isdigit() and int(value):
+        warm_up_ms = parse_count(value) if value is not None else None
+        if warm_up_ms:
             now_s = self._clock.read_monotonic_s()
-            server.record_warm_up(int(value) / MS_PER_S, now_s)
+            server.record_warm_up(warm_up_ms / MS_PER_S, now_s)
 
     def _record_load(
         self, service: ServiceView, server: ServerView, answer: HttpAnswer
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/stream.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/stream.py
@@ -11,8 +11,9 @@
     fail_after,
 )
 from anyio.abc import SocketStream
-from msgspec import DecodeError, Struct, ValidationError, msgpack
+from msgspec import Struct, msgpack
 
+from cardamomtack.helpers.decoding import DECODE_ERRORS
 from cardamomtack_daemon.peers.const import FRAME_BYTES_MAX, FRAME_LENGTH_BYTES
 
 MessageT = TypeVar("MessageT", bound=Struct)
@@ -79,7 +80,7 @@
                     frame = self._take_frame()
         try:
             return self._decoder.decode(frame)
-        except (DecodeError, ValidationError) as error:
+        except DECODE_ERRORS as error:
             raise PeerProtocolError(str(error)) from error
 
     def _take_frame(self) -> bytes | None:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/registration.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/registration.py
@@ -6,9 +6,10 @@
 
 from anyio import Event, move_on_after, sleep
 from loguru import logger
-from msgspec import DecodeError, ValidationError, msgpack
+from msgspec import msgpack
 
 from cardamomtack.generated.relay import Member
+from cardamomtack.helpers.decoding import DECODE_ERRORS
 from cardamomtack.replicas.members import MemberTable
 from cardamomtack_daemon.replicas.const import (
     BACKOFF_S_MAX,
@@ -125,5 +126,5 @@
         for record in records:
             try:
                 self._members.update_member(msgpack.decode(record, type=Member))
-            except (DecodeError, ValidationError):
+            except DECODE_ERRORS:
                 logger.warning("the record of a VM can't be used")
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -66,7 +66,9 @@
 
 NOTICES_KEPT = 200
 
-RELAY_ERRORS = (*STREAM_ERRORS, TopicGapError)
+RELAY_ERRORS = (*STREAM_ERRORS, OverflowError, TopicGapError)
+"""What ends a stream; a number too large to compute with is one of them."""
+
 
 Outbox = MemoryObjectSendStream[bytes]
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tasks/probing.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tasks/probing.py
@@ -5,13 +5,14 @@
 from random import Random
 
 from anyio import create_task_group, sleep
-from msgspec import DecodeError, ValidationError, json
+from msgspec import json
 
 from cardamomtack.balancing.directory import ServerDirectory
 from cardamomtack.balancing.server import BackendServer
 from cardamomtack.generated.peer import ServerLoad
 from cardamomtack.generated.services import Health
 from cardamomtack.helpers.clock import MS_PER_S, Clock
+from cardamomtack.helpers.decoding import DECODE_ERRORS
 from cardamomtack.measuring.const import PROBERS_PER_SERVER
 from cardamomtack.measuring.pacer import MeasuringLimiter
 from cardamomtack.util.digests import rank_by_rendezvous_hash
@@ -176,5 +177,5 @@
         return None
     try:
         return json.decode(answer.body, type=Health)
-    except (DecodeError, ValidationError):
+    except DECODE_ERRORS:
         return None
--- a/packages/cardamomtack_operator/src/cardamomtack_operator/fleet.py
+++ b/packages/cardamomtack_operator/src/cardamomtack_operator/fleet.py
@@ -6,7 +6,7 @@
 
 from anyio import create_task_group
 from httpx import AsyncClient, HTTPError
-from msgspec import DecodeError, ValidationError, json, msgpack
+from msgspec import json, msgpack
 
 from cardamomtack.accounts.const import COUNTS_STREAM
 from cardamomtack.configuration.const import CONFIGURATION_STREAM
@@ -14,6 +14,7 @@
 from cardamomtack.generated.records import CountsRecord, LogRecord
 from cardamomtack.generated.services import VirtualMachine
 from cardamomtack.generated.status import DaemonStatus
+from cardamomtack.helpers.decoding import DECODE_ERRORS
 from cardamomtack.services.log_service import HttpLogService
 from cardamomtack.services.vm_list import HttpVmList
 from cardamomtack_operator.const import READ_LIMIT, STATUS_TIMEOUT_S
@@ -127,5 +128,5 @@
         try:
             response = await self._client.get(url, timeout=STATUS_TIMEOUT_S)
             return json.decode(response.content, type=DaemonStatus)
-        except (HTTPError, DecodeError, ValidationError):
+        except (HTTPError, *DECODE_ERRORS):
             return None
--- a/packages/cardamomtack_operator/src/cardamomtack_operator/story.py
+++ b/packages/cardamomtack_operator/src/cardamomtack_operator/story.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Iterable, Iterator
 
-from msgspec import DecodeError, ValidationError
 from msgspec.json import Decoder
 
 from cardamomtack.generated.logs import LogLine, RequestDecision
+from cardamomtack.helpers.decoding import DECODE_ERRORS
 
 _DECODER = Decoder(LogLine)
 
@@ -26,7 +26,7 @@
             continue
         try:
             yield _DECODER.decode(line[start:])
-        except (DecodeError, ValidationError):
+        except DECODE_ERRORS:
             continue
 
 
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/load.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/load.py
@@ -20,9 +20,10 @@
 )
 from anyio.abc import SocketStream
 from httptools import HttpParserError, HttpResponseParser
-from msgspec import DecodeError, Struct, ValidationError, json
+from msgspec import Struct, json
 
 from cardamomtack.helpers.clock import MS_PER_S
+from cardamomtack.helpers.decoding import DECODE_ERRORS
 from cardamomtack_standins.backend import digest_request
 from cardamomtack_standins.plan import FleetPlan, KindPlan
 
@@ -180,7 +181,7 @@
     )
     try:
         return json.decode(body, type=_AnswerBody).digest == wanted
-    except (DecodeError, ValidationError):
+    except DECODE_ERRORS:
         return False
 
 
