Take nothing for fresh that was only late on its way

A VM that hears from one whose messages come later and later believed its configuration to be fresh for ever and never read the store: in the test it refuses a new route for as long as the other VM lags (2 s and more; failed before, passes now).

Cause: the age of a topic was counted from the moment at which it was heard. The time that the message took was lost at each hop, so that two VMs that hear from one another kept each other fresh, and a suspended VM did not count its suspension. And a read that waited was taken to prove what held at its answer, however late that came.

Now each heartbeat bears the time at which it was written, by a clock that counts suspensions, and the subscriber maps it to its own by the first one, which was written after it had subscribed: nothing is taken for younger than it is. A read proves what held when it was sent, or after a wait in vain; when that is long ago, the next read does not wait.

--- a/packages/cardamomtack/src/cardamomtack/helpers/clock.py
+++ b/packages/cardamomtack/src/cardamomtack/helpers/clock.py
@@ -14,6 +14,9 @@
     def read_monotonic_s(self) -> float:
         """Return seconds that never go back, from an arbitrary start."""
 
+    def read_boot_s(self) -> float:
+        """Return seconds since the start of the VM, those suspended included."""
+
     def read_epoch_ms(self) -> int:
         """Return milliseconds since the epoch."""
 
@@ -27,6 +30,10 @@
         """Return seconds that never go back, from an arbitrary start."""
         return time.monotonic()
 
+    def read_boot_s(self) -> float:
+        """Return seconds since the start of the VM, those suspended included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def read_epoch_ms(self) -> int:
         """Return milliseconds since the epoch."""
         return int(time.time() * MS_PER_S)
@@ -53,6 +60,10 @@
         """Return the current monotonic reading, in seconds."""
         return self._monotonic_s
 
+    def read_boot_s(self) -> float:
+        """Return the current monotonic reading; this clock is never suspended."""
+        return self._monotonic_s
+
     def read_epoch_ms(self) -> int:
         """Return the current wall clock reading, in milliseconds."""
         return int(self._epoch_ms)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -331,7 +331,7 @@
             self._readiness.async_serve, settings.address, settings.ready_port
         )
         tasks.start_soon(self._async_maintain)
-        tasks.start_soon(async_watch_clock, self._wake)
+        tasks.start_soon(async_watch_clock, self._clock, self._wake)
 
     async def _async_join(self) -> None:
         """Learn of the other VMs, share the budgets with them, and stay known."""
@@ -343,7 +343,7 @@
         """Drop what has grown old."""
         while True:
             await sleep(MAINTENANCE_S)
-            now_s = self._clock.read_monotonic_s()
+            now_s = self._clock.read_boot_s()
             self._share_budgets()
             if any(one.compute_age_s(now_s) > STALE_AFTER_S for one in self._replicas):
                 self._registry.mark_source_unavailable()
@@ -415,7 +415,7 @@
 
     def _read_ages_ms(self) -> TopicAges:
         """Return how long ago the store confirmed what this VM knows."""
-        now_s = self._clock.read_monotonic_s()
+        now_s = self._clock.read_boot_s()
         ages_s = [one.compute_age_s(now_s) for one in self._replicas]
         return TopicAges(
             *(int(age_s * MS_PER_S) if isfinite(age_s) else -1 for age_s in ages_s)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/suspension.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/suspension.py
@@ -2,30 +2,25 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 from anyio import sleep
 from loguru import logger
 
+from cardamomtack.helpers.clock import Clock
 from cardamomtack_daemon.forwarding.const import CLOCK_CHECK_S, CLOCK_JUMP_S
 
 
-def read_boot_s() -> float:
-    """Return seconds since the start of the VM, suspended time included."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
-async def async_watch_clock(wake: Callable[[], None]) -> None:
+async def async_watch_clock(clock: Clock, wake: Callable[[], None]) -> None:
     """Call a function after each time that the process has stood still.
 
     The steady clock does not count the time of a suspended VM; the time since the
     start of the VM does.
     """
-    known_s = read_boot_s()
+    known_s = clock.read_boot_s()
     while True:
         await sleep(CLOCK_CHECK_S)
-        now_s = read_boot_s()
+        now_s = clock.read_boot_s()
         stood_s = now_s - known_s - CLOCK_CHECK_S
         known_s = now_s
         if stood_s > CLOCK_JUMP_S:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/const.py
@@ -8,6 +8,9 @@
 BACKOFF_S_MAX: Final = 2.5
 BACKOFF_S_MIN: Final = 0.15
 BATCH_S: Final = 0.2
+CONFIRM_DUE_S: Final = 0.3
+"""Age of what a late answer proves from which the next read asks without waiting."""
+
 DIAL_PAUSE_S: Final = 0.2
 DIAL_TIMEOUT_S: Final = 0.6
 FRESHNESS_GAP_S: Final = 0.05
@@ -22,4 +25,8 @@
 READ_TIMEOUT_S: Final = 0.8
 READ_TIMEOUT_S_MAX: Final = 4.0
 SILENCE_S_MAX: Final = 1.1
+SLACK_S_MAX: Final = 0.3
+"""Most by which a stream may make what it tells look older."""
+
+SLACK_TRIAL_S: Final = 2.0
 SUBSCRIBE_TIMEOUT_S: Final = 2.0
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/reader.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/reader.py
@@ -15,6 +15,7 @@
     BACKOFF_S_MAX,
     BACKOFF_S_MIN,
     BATCH_S,
+    CONFIRM_DUE_S,
     NEED_CHECK_S,
     POLL_WAIT_S,
     READ_TIMEOUT_S,
@@ -57,6 +58,7 @@
     __slots__ = (
         "_backoff_s",
         "_clock",
+        "_is_due",
         "_is_reader",
         "_must_read_newest",
         "_random",
@@ -80,6 +82,7 @@
     ) -> None:
         self._backoff_s = BACKOFF_S_MIN
         self._clock = clock
+        self._is_due = False
         self._is_reader = is_reader
         self._must_read_newest = False
         self._record_answer = record_answer
@@ -127,9 +130,7 @@
         """Return whether the topic is read here."""
         if self._is_reader():
             return True
-        return (
-            self._replica.compute_age_s(self._clock.read_monotonic_s()) > STALE_AFTER_S
-        )
+        return self._replica.compute_age_s(self._clock.read_boot_s()) > STALE_AFTER_S
 
     async def _async_read(self) -> bool:
         """Read once and return whether there were records.
@@ -140,7 +141,7 @@
             When the store can't be read.
         """
         self.calls += 1
-        sent_at_s = self._clock.read_monotonic_s()
+        sent_at_s = self._clock.read_boot_s()
         if self._replica.end == END_UNKNOWN or self._must_read_newest:
             page = await self._source.async_read_newest(self._timeout_s)
             if (page.history, page.end) < self._replica.position:
@@ -150,7 +151,7 @@
         else:
             # After trouble an answer at once tells that the store is back; a read
             # that waits could be lost unnoticed.
-            wait_s = POLL_WAIT_S if self._was_answered else 0.0
+            wait_s = POLL_WAIT_S if self._was_answered and not self._is_due else 0.0
             page = await self._source.async_read_from(
                 self._replica.end, wait_s, self._timeout_s
             )
@@ -160,8 +161,11 @@
                 # Another VM told of the history of now while this read was under way.
                 return False
         self._replica.apply_records(page)
-        now_s = self._clock.read_monotonic_s()
-        self._replica.confirm(min(now_s, sent_at_s + wait_s))
+        taken_s = self._clock.read_boot_s() - sent_at_s
+        # An answer proves what held when it was asked for, or after a wait in vain.
+        has_waited = not page.records and taken_s >= wait_s
+        self._replica.confirm(sent_at_s + (wait_s if has_waited else 0.0))
+        self._is_due = not has_waited and taken_s > CONFIRM_DUE_S
         return bool(page.records)
 
     def _record_answered(self) -> None:
@@ -183,7 +187,7 @@
             logger.bind(topic=self._replica.topic, error=str(error)).warning(
                 "the store can't be read"
             )
-        now_s = self._clock.read_monotonic_s()
+        now_s = self._clock.read_boot_s()
         if self._replica.is_fresh_without(SOURCE_STORE, now_s):
             self._record_answer(False)
         self._was_answered = False
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from math import ceil
 from random import Random
 from typing import Protocol
 
@@ -42,6 +43,7 @@
 from cardamomtack.helpers.clock import MS_PER_S, Clock
 from cardamomtack.replicas.const import STALE_AFTER_S
 from cardamomtack.replicas.members import MemberTable
+from cardamomtack.replicas.peer_clock import PeerClock
 from cardamomtack.replicas.topic import (
     END_UNKNOWN,
     HISTORY_UNKNOWN,
@@ -61,6 +63,8 @@
     FRESHNESS_S,
     OUTBOX_MAX,
     SILENCE_S_MAX,
+    SLACK_S_MAX,
+    SLACK_TRIAL_S,
     SUBSCRIBE_TIMEOUT_S,
 )
 
@@ -195,7 +199,7 @@
         """
         while True:
             await sleep(ASK_PAUSE_S)
-            if not self._is_stale(self._clock.read_monotonic_s()):
+            if not self._is_stale(self._clock.read_boot_s()):
                 continue
             other = self._members.choose_other(self._random, self._upstream_id)
             if other is None:
@@ -219,13 +223,16 @@
             stream = await connect_tcp(other.address, other.port)
         async with stream:
             messages = MessageStream(stream, RelayMessage)
+            peer_clock = PeerClock(self._clock.read_boot_s())
             subscription = self._write_subscription(wants_members=False)
             await messages.async_send_frame(encode_frame(subscription))
             is_told = False
             while not is_told:
                 message = await messages.async_receive(SILENCE_S_MAX)
                 self._handle_message(message, None, other.vm_id)
-                is_told = message.freshness is not None
+                if message.freshness is not None:
+                    self._apply_freshness(message.freshness, other.vm_id, peer_clock)
+                    is_told = True
 
     async def _async_subscribe_to(self, upstream: Member) -> bool:
         """Subscribe to a VM and take what it says until it is silent.
@@ -284,15 +291,21 @@
         TimeoutError
             When it is silent.
         """
+        peer_clock = PeerClock(self._clock.read_boot_s())
+        began_s = self._clock.read_monotonic_s()
         while True:
             message = await messages.async_receive(SILENCE_S_MAX)
             self._handle_message(message, outbox, upstream.vm_id)
             now_s = self._clock.read_monotonic_s()
             if message.freshness is not None:
+                self._apply_freshness(message.freshness, upstream.vm_id, peer_clock)
                 self._rate_upstream(upstream, message.freshness, now_s)
             best = self._members.choose_upstream(now_s)
             if best is None or best.vm_id != upstream.vm_id:
                 return
+            if peer_clock.slack_s > SLACK_S_MAX and now_s - began_s > SLACK_TRIAL_S:
+                # Another subscription to the same VM tells its times more closely.
+                return
 
     def _rate_upstream(
         self, upstream: Member, freshness: Freshness, now_s: float
@@ -301,6 +314,7 @@
 
         When the store answers nobody, all go on to hear from whom they heard before.
         """
+        boot_s = self._clock.read_boot_s()
         told = {
             topic.topic
             for topic in freshness.topics
@@ -309,7 +323,7 @@
         if len(told) == len(self._replicas):
             self._members.mark_reachable(upstream.vm_id)
         elif any(
-            topic not in told and replica.is_fresh_without(upstream.vm_id, now_s)
+            topic not in told and replica.is_fresh_without(upstream.vm_id, boot_s)
             for topic, replica in self._replicas.items()
         ):
             self._members.mark_unreachable(upstream.vm_id, now_s)
@@ -364,8 +378,6 @@
             replica = self._replicas.get(message.records.topic)
             if replica is not None:
                 replica.apply_records(message.records, vm_id)
-        if message.freshness is not None:
-            self._apply_freshness(message.freshness, vm_id)
         if message.members is not None:
             self._apply_members(message.members.members, source)
         if message.crash is not None:
@@ -376,9 +388,12 @@
         if heartbeat is not None and self._listener.apply_heartbeat(heartbeat):
             self._forward(message, source)
 
-    def _apply_freshness(self, freshness: Freshness, vm_id: str) -> None:
+    def _apply_freshness(
+        self, freshness: Freshness, vm_id: str, peer_clock: PeerClock
+    ) -> None:
         """Apply what another VM says of the age of its topics."""
-        now_s = self._clock.read_monotonic_s()
+        now_s = self._clock.read_boot_s()
+        sent_at_s = peer_clock.find_sent_at_s(freshness.sent_at_ms, now_s)
         for topic in freshness.topics:
             replica = self._replicas.get(topic.topic)
             if (
@@ -386,7 +401,7 @@
                 and replica.history == topic.history
                 and replica.end >= topic.end
             ):
-                replica.confirm(now_s - topic.age_ms / MS_PER_S, vm_id)
+                replica.confirm(sent_at_s - topic.age_ms / MS_PER_S, vm_id)
 
     def _apply_members(self, members: list[Member], source: Outbox | None) -> None:
         """Apply news of VMs and forward what is new."""
@@ -485,13 +500,13 @@
 
     def _write_freshness(self) -> RelayMessage:
         """Return the heartbeat; topics that are stale here are left out."""
-        now_s = self._clock.read_monotonic_s()
+        now_s = self._clock.read_boot_s()
         topics = [
-            TopicFreshness(topic, replica.end, int(age_s * MS_PER_S), replica.history)
+            TopicFreshness(topic, replica.end, ceil(age_s * MS_PER_S), replica.history)
             for topic, replica in self._replicas.items()
             if (age_s := replica.compute_age_s(now_s)) <= STALE_AFTER_S
         ]
-        return RelayMessage(freshness=Freshness(topics))
+        return RelayMessage(freshness=Freshness(topics, int(now_s * MS_PER_S)))
 
 
 async def _async_write(
