--- a/packages/cardamomtack_standins/src/cardamomtack_standins/keyed_store.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/keyed_store.py
@@ -75,9 +75,18 @@
         Grows each time that the store comes back from a copy; 0 tells no caller.
     page_items_max : int
         Records on a page of the newest ones.
+    read_items_max : int
+        Records in the answer to a read.
     """
 
-    __slots__ = ("_topics", "calls", "faults", "history", "page_items_max")
+    __slots__ = (
+        "_topics",
+        "calls",
+        "faults",
+        "history",
+        "page_items_max",
+        "read_items_max",
+    )
 
     def __init__(self) -> None:
         self._topics: dict[str, _Topic] = {}
@@ -85,6 +94,7 @@
         self.faults = StoreFaults()
         self.history = 0
         self.page_items_max = PAGE_ITEMS_MAX
+        self.read_items_max = PAGE_ITEMS_MAX
 
     def write(self, topic: str, key: str, value: bytes) -> int:
         """Append the record of a key, as another writer, and return its offset."""
@@ -202,7 +212,8 @@
             return ServiceReply(410, json.encode({"first": found.first}))
         body = found.end.to_bytes(OFFSET_BYTES, "big")
         body += found.first.to_bytes(OFFSET_BYTES, "big")
-        for record in found.records[start - found.first :]:
+        position = start - found.first
+        for record in found.records[position : position + self.read_items_max]:
             body += len(record).to_bytes(LENGTH_BYTES, "big") + record
         return ServiceReply(200, body, RAW)
 
--- a/tests/cardamomtack_platform/test_store.py
+++ b/tests/cardamomtack_platform/test_store.py
@@ -146,6 +146,16 @@
 
         self.play(scenario)
 
+    def test_first_part_of_a_long_history_is_taken_for_all(self):
+        async def scenario(store, topic, members):
+            store.read_items_max = 3
+            for number in range(8):
+                store.write(NAME, "a", b"%d" % number)
+            page = await topic.async_read_from(0, 0.0, 1.0)
+            self.assertEqual((page.start, page.end, len(page.records)), (0, 8, 8))
+
+        self.play(scenario)
+
     def test_records_of_vms(self):
         async def scenario(store, topic, members):
             await members.async_write_member("vm-1", b"one", 1.0)
