Pass a late entry of a server over by its own count

A server that had said that it drains was ready again when one of its earlier entries came late, as a write does whose answer was lost: only the start of a server was compared, not the count of its entries. The new test fails before (the server is usable) and passes. A server that tells no start is followed as its entries come.

--- a/packages/cardamomtack/src/cardamomtack/discovery/entry.py
+++ b/packages/cardamomtack/src/cardamomtack/discovery/entry.py
@@ -12,7 +12,9 @@
     Attributes
     ----------
     incarnation : int
-        Grows with each start of a server under the same id.
+        Grows with each start of a server under the same id; 0 when it tells none.
+    sequence : int
+        Grows with each entry of an incarnation.
     warm_up_left_s : float
         How much longer the server stays slow after its start, in seconds.
     """
@@ -26,3 +28,10 @@
     is_draining: bool
     warm_up_left_s: float
     incarnation: int
+    sequence: int = 0
+
+    def is_older_than(self, other: ServerEntry) -> bool:
+        """Return whether the server wrote this entry before another one of its id."""
+        if self.incarnation != other.incarnation:
+            return self.incarnation < other.incarnation
+        return self.incarnation > 0 and self.sequence < other.sequence
--- a/packages/cardamomtack/src/cardamomtack/discovery/registry.py
+++ b/packages/cardamomtack/src/cardamomtack/discovery/registry.py
@@ -65,11 +65,11 @@
         self._trouble_until_s = self._clock.read_monotonic_s() + HOLD_LAPSED_S
 
     def apply_entry(self, entry: ServerEntry) -> None:
-        """Take an entry; one of an older incarnation is passed over."""
+        """Take an entry; one that its server wrote before the known one is not."""
         now_s = self._clock.read_monotonic_s()
         known = self.servers.get(entry.server_id)
         if known is not None:
-            if entry.incarnation < known.entry.incarnation:
+            if entry.is_older_than(known.entry):
                 return
             self._held.pop(entry.server_id, None)
             if known.matches_entry(entry):
--- a/tests/cardamomtack/discovery/test_registry.py
+++ b/tests/cardamomtack/discovery/test_registry.py
@@ -42,6 +42,21 @@
         self.registry.apply_entry(replace(ENTRY, incarnation=4, is_draining=True))
         self.assertEqual(self.list_usable(), ["s-1"])
 
+    def test_late_entry_of_a_draining_server_makes_it_ready_again(self):
+        self.registry.apply_entry(replace(ENTRY, sequence=7))
+        self.registry.apply_entry(replace(ENTRY, is_draining=True, sequence=8))
+        self.registry.apply_entry(replace(ENTRY, sequence=6))
+        self.assertEqual(self.list_usable(), [])
+        self.registry.apply_entry(replace(ENTRY, incarnation=2, sequence=1))
+        self.assertEqual(self.list_usable(), ["s-1"])
+
+    def test_server_that_tells_no_start_is_followed_as_its_entries_come(self):
+        self.registry.apply_entry(replace(ENTRY, incarnation=0, sequence=7))
+        self.registry.apply_entry(
+            replace(ENTRY, incarnation=0, is_draining=True, sequence=2)
+        )
+        self.assertEqual(self.list_usable(), [])
+
     def test_newer_incarnation_starts_anew(self):
         self.registry.apply_entry(ENTRY)
         known = self.registry.servers["s-1"]
