Hear servers that say that they leave, and those that ask for a pause

What a server demands of this VM (limit, pause, leaving, warm-up) is kept in one place, ServerDemands, and the choice asks there. Leaving holds until the server has started anew, also when its entry is listed again; other VMs are told on the streams of limits and only spare the server, so that their word never makes a service empty. A pause holds for this VM for the seconds named, 60 at most; a shorter one does not cut it short, nonsense is ignored and counted, health checks are left out with the rest. Where no server is open, the caller is told at once when the first one is, each its own moment.

--- a/packages/cardamomtack/src/cardamomtack/limits/const.py
+++ b/packages/cardamomtack/src/cardamomtack/limits/const.py
@@ -16,7 +16,13 @@
 """Heartbeats that each VM may hear from all others together."""
 
 IDLE_AFTER_S: Final = 2.0
+LEAVING_KEPT: Final = 5000
+"""Servers of which it is remembered that they leave."""
+
 NOTICE_DELAY_S_MAX: Final = 0.5
+PAUSE_S_MAX: Final = 60.0
+"""Longest pause that a server is believed to want."""
+
 SHARE_PER_S_MIN: Final = 0.5
 """Requests a second that a VM is dealt at least; fewer VMs share a lower limit."""
 
--- a/packages/cardamomtack/src/cardamomtack/limits/coordinator.py
+++ b/packages/cardamomtack/src/cardamomtack/limits/coordinator.py
@@ -7,11 +7,17 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
+
 from cardamomtack.discovery.registry import ServerRegistry
 from cardamomtack.generated.relay import Member
 from cardamomtack.helpers.clock import Clock
 from cardamomtack.limits.allowance import SendAllowance
-from cardamomtack.limits.const import IDLE_AFTER_S, TRIAL_RATE_PER_S
+from cardamomtack.limits.const import (
+    IDLE_AFTER_S,
+    LEAVING_KEPT,
+    TRIAL_RATE_PER_S,
+)
 from cardamomtack.limits.presence import PresenceTable, compute_heartbeat_s
 from cardamomtack.limits.shares import deal_shares
 from cardamomtack.limits.statements import LimitStatements
@@ -48,6 +54,7 @@
         "_candidates",
         "_clock",
         "_dealt",
+        "_leaving",
         "_limited",
         "_members",
         "_registry",
@@ -65,6 +72,7 @@
         self._candidates: list[Member] = []
         self._dealt: dict[str, tuple[float, float]] = {}
         self._clock = clock
+        self._leaving: OrderedDict[str, bool] = OrderedDict()
         self._limited: list[ServerView] = []
         self._members = members
         self._registry = registry
@@ -98,14 +106,46 @@
             self._beat_at_s = now_s
         return is_due
 
+    def record_leaving(self, server_key: str, is_own: bool) -> bool:
+        """Record that a server says that it leaves, and return whether it is news.
+
+        It does so until it has started anew, whatever its entry says.
+
+        Parameters
+        ----------
+        is_own : bool
+            Whether this VM has heard it from the server, and not from another VM.
+        """
+        known = self._leaving.get(server_key)
+        if known is not None and known >= is_own:
+            return False
+        self._leaving[server_key] = is_own
+        if len(self._leaving) > LEAVING_KEPT:
+            self._leaving.popitem(last=False)
+        self._mark_leaving()
+        return known is None
+
+    def list_leaving(self) -> list[str]:
+        """Return the keys of the servers that have said that they leave."""
+        return list(self._leaving)
+
+    def _mark_leaving(self) -> None:
+        """Mark the servers that leave, also one whose entry has come back."""
+        for key, is_own in self._leaving.items():
+            server = self._registry.servers.get(key.rpartition("/")[0])
+            if server is not None and server.key == key:
+                server.demands.is_leaving = is_own
+                server.demands.is_said_to_leave = not is_own
+
     def share_limits(self) -> None:
         """Work out this VM's shares from what is known now."""
         now_s = self._clock.read_monotonic_s()
+        self._mark_leaving()
         self._drop_old(now_s)
         limits = self._list_limits(now_s)
         for server in self._limited:
             if server not in limits:
-                server.allowance = None
+                server.demands.allowance = None
         self._limited = list(limits)
         if not limits:
             self.presence.clear()
@@ -119,9 +159,9 @@
             share_per_s = 0.0
             if may_use:
                 share_per_s = self._find_share(server, rate_per_s, presence.candidates)
-            if server.allowance is None:
-                server.allowance = SendAllowance(now_s)
-            server.allowance.apply_share(share_per_s, rate_per_s, now_s)
+            allowance = server.demands.allowance or SendAllowance(now_s)
+            allowance.apply_share(share_per_s, rate_per_s, now_s)
+            server.demands.allowance = allowance
 
     def _find_share(
         self, server: ServerView, rate_per_s: float, candidates: list[Member]
--- a/packages/cardamomtack/src/cardamomtack/placing/chooser.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/chooser.py
@@ -120,9 +120,9 @@
         if len(members) > SCANNED_FACTOR * count:
             # Most servers are usable, so a few more than needed nearly always do.
             drawn = self._random.sample(members, SAMPLED_FACTOR * count)
-            sample = _list_usable(drawn, tried, now_s)[:count]
+            sample = _list_usable(service, drawn, tried, now_s)[:count]
         if len(sample) < count:
-            usable = _list_usable(members, tried, now_s)
+            usable = _list_usable(service, members, tried, now_s)
             sample = self._random.sample(usable, min(count, len(usable)))
         sample.sort(
             key=lambda server: (
@@ -141,7 +141,7 @@
             for server in service.members
             if server.entry.server_id not in tried
             and server.may_stay
-            and server.is_within_limit(now_s)
+            and server.demands.is_open(now_s)
         ]
         if len(ejected) <= PROBED_MAX:
             return ejected
@@ -236,11 +236,13 @@
 
 
 def _list_usable(
-    servers: list[ServerView], tried: set[str], now_s: float
+    service: ServiceView, servers: list[ServerView], tried: set[str], now_s: float
 ) -> list[ServerView]:
     """Return the servers that may get work and were not tried."""
     return [
         server
         for server in servers
-        if server.is_usable(now_s) and server.entry.server_id not in tried
+        if server.is_usable(now_s)
+        and server.entry.server_id not in tried
+        and not service.is_spared(server, now_s)
     ]
--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -9,6 +9,7 @@
 
 from cardamomtack.discovery.entry import ServerEntry
 from cardamomtack.limits.allowance import SendAllowance
+from cardamomtack.limits.demands import ServerDemands
 from cardamomtack.placing.const import (
     EJECTION_FAILURES,
     EJECTION_S_MAX,
@@ -70,8 +71,8 @@
 
     Attributes
     ----------
-    allowance : SendAllowance or None
-        What this VM may send while the server has a limit; None without one.
+    demands : ServerDemands
+        What the server has said of the requests that it wants.
     in_flight : int
         Requests of this VM that the server has not answered.
     sent_since_report : int
@@ -86,8 +87,7 @@
         "_failure_share",
         "_probe_timeouts",
         "_reported_at_s",
-        "_warm_at_s",
-        "allowance",
+        "demands",
         "ejected_until_s",
         "entry",
         "in_flight",
@@ -108,8 +108,7 @@
         self._failure_share = 0.0
         self._reported_at_s = -inf
         self._probe_timeouts = 0
-        self._warm_at_s = now_s + entry.warm_up_left_s
-        self.allowance: SendAllowance | None = None
+        self.demands = ServerDemands(now_s + entry.warm_up_left_s)
         self.ejected_until_s = 0.0
         self.entry = entry
         self.in_flight = 0
@@ -156,39 +155,45 @@
     def apply_entry(self, entry: ServerEntry, now_s: float) -> None:
         """Apply a newer entry of the same server."""
         self.entry = entry
-        self._warm_at_s = now_s + entry.warm_up_left_s
+        self.demands.warm_at_s = now_s + entry.warm_up_left_s
+
+    @property
+    def allowance(self) -> SendAllowance | None:
+        """Return what this VM may send while the server has a limit."""
+        return self.demands.allowance
 
     def is_usable(self, now_s: float) -> bool:
         """Return whether the server may get new work."""
         if not self.may_stay or self.ejected_until_s > now_s:
             return False
-        return self.is_within_limit(now_s)
+        return self.demands.is_open(now_s)
 
     @property
     def may_stay(self) -> bool:
         """Return whether the server neither leaves nor has left."""
-        return not self.is_removed and not self.entry.is_draining
-
-    def is_within_limit(self, now_s: float) -> bool:
-        """Return whether one more request of this VM is within the server's limit."""
-        return self.allowance is None or self.allowance.can_spend(now_s)
+        if self.is_removed or self.entry.is_draining:
+            return False
+        return not self.demands.is_leaving
 
     def reserve_send(self, now_s: float) -> bool:
-        """Return whether a request may be sent, and count it against the limit."""
-        return self.allowance is None or self.allowance.spend(now_s)
+        """Return whether a request may be sent, and count it against the limit.
+
+        The server may have said that it leaves since it was chosen.
+        """
+        return self.may_stay and self.demands.reserve_send(now_s)
 
     def release_send(self) -> None:
         """Give back what was counted for a request that was not sent."""
-        if self.allowance is not None:
-            self.allowance.refund()
+        if self.demands.allowance is not None:
+            self.demands.allowance.refund()
 
     def record_warm_up(self, left_s: float, now_s: float) -> None:
         """Record that the server warms up for some seconds more."""
-        self._warm_at_s = max(self._warm_at_s, now_s + left_s)
+        self.demands.warm_at_s = max(self.demands.warm_at_s, now_s + left_s)
 
     def is_warming(self, now_s: float) -> bool:
         """Return whether the server is still slow after its start."""
-        return now_s < self._warm_at_s
+        return now_s < self.demands.warm_at_s
 
     def record_report(self, report: LoadReport, now_s: float) -> None:
         """Record a load report that has just arrived."""
@@ -365,6 +370,15 @@
             self._split = (zone, own, others)
         return self._split[1] if is_own_zone else self._split[2]
 
+    def is_spared(self, server: ServerView, now_s: float) -> bool:
+        """Return whether a server that is said to leave is passed over for others."""
+        if not server.demands.is_said_to_leave:
+            return False
+        return any(
+            one.is_usable(now_s) and not one.demands.is_said_to_leave
+            for one in self.members
+        )
+
     def add_answered(self, server: ServerView) -> None:
         """Record a server at which a request has just ended."""
         self._answered.append(server)
@@ -379,7 +393,9 @@
             if not server.has_report_within(REPORT_FRESH_S_MAX, now_s):
                 break
             failures = self.estimate_excess_failures(server, now_s)
-            if server.is_usable(now_s) and failures <= PROBED_LAST_FAILURE_SHARE:
+            if not server.is_usable(now_s) or self.is_spared(server, now_s):
+                continue
+            if failures <= PROBED_LAST_FAILURE_SHARE:
                 fresh.append(server)
         return fresh
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -379,9 +379,10 @@
     ) -> tuple[Handled, str]:
         """Return the final answer of a call that no server takes, and the reason."""
         limits = self._placer.find_limits(call)
-        if limits is None or result is not None:
+        is_proved = result is None or result.outcome is SendOutcome.NOT_RUN
+        if limits is None or not is_proved:
             return self._finish(call, result, "no server can answer in time")
-        reason = "servers have reached their limits"
+        reason = "servers want no request yet"
         now_s = self._clock.read_monotonic_s()
         schedule = self._returns.setdefault(call.service, ReturnSchedule())
         retry_after_s = schedule.choose_retry_after_s(
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/header_names.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/header_names.py
@@ -30,6 +30,8 @@
         Id of the server, on answers to health checks.
     rate_limit : bytes
         Requests a second that the server takes from all VMs together.
+    leaving : bytes
+        Says with ``1`` that the server leaves, on any answer.
     warm_up_ms : bytes
         How much longer the server warms up, in milliseconds, on answers to health
         checks.
@@ -48,6 +50,7 @@
     load: bytes
     server_id: bytes
     rate_limit: bytes
+    leaving: bytes
     warm_up_ms: bytes
     parse_load: Callable[[bytes], LoadReport | None]
     parse_rate_limit: Callable[[bytes], float | None]
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -40,7 +40,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ServiceLimits:
-    """What the servers of a service take while each of them has reached a limit.
+    """What the servers of a service take while none is open by its own word.
 
     Attributes
     ----------
@@ -127,19 +127,22 @@
     def find_limits(self, call: ForwardedCall) -> ServiceLimits | None:
         """Return when servers take requests again, or None where some may take one.
 
-        Only limits count: servers that have no capacity or have failed are believed to
-        take a request, until they are probed.
+        Only limits and pauses count: servers that have no capacity or have failed are
+        believed to take a request, until they are probed.
         """
         now_s = self._clock.read_monotonic_s()
+        work_s = self.estimate_work_s(call)
         wait_s = inf
         rate_per_s = 0.0
         for server in self._registry.find_service(call.service).members:
-            if not server.may_stay or server.vm_id in call.tried:
+            if not server.may_stay:
                 continue
-            if server.is_within_limit(now_s) or server.allowance is None:
-                return None
-            wait_s = min(wait_s, server.allowance.compute_wait_s(now_s))
-            rate_per_s += server.allowance.fleet_rate_per_s
+            if server.demands.is_open(now_s):
+                if server.vm_id not in call.tried:
+                    return None
+                continue
+            wait_s = min(wait_s, server.demands.compute_wait_s(now_s))
+            rate_per_s += server.demands.compute_rate_per_s(server.entry.slots, work_s)
         return ServiceLimits(wait_s, rate_per_s) if rate_per_s else None
 
     async def _async_find(
@@ -265,6 +268,8 @@
             now_s = self._clock.read_monotonic_s()
             if server.vm_id in call.tried or not server.is_usable(now_s):
                 return False
+            if service.is_spared(server, now_s):
+                return False
             is_in_time = self._find_times(server, call).is_in_time
             return is_in_time and not is_near_capacity(server)
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/shared_limits.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/shared_limits.py
@@ -1,4 +1,4 @@
-"""Hears the limits that backend servers name, and shares them with the other VMs."""
+"""Hears what backend servers demand, and tells the other VMs what concerns them."""
 
 from __future__ import annotations
 
@@ -9,11 +9,15 @@
 from cardamomtack.generated.relay import Member, ServerLimit, VmHeartbeat
 from cardamomtack.helpers.clock import MS_PER_S, Clock
 from cardamomtack.limits.coordinator import LimitCoordinator
+from cardamomtack.limits.demands import parse_pause_s
 from cardamomtack.placing.server import ServerView
 from cardamomtack_daemon.forwarding.header_names import HeaderNames
 from cardamomtack_daemon.http1.messages import HttpAnswer
 
 EVENT_LIMIT = "limit of a server heard"
+HEADER_RETRY_AFTER = b"retry-after"
+LEAVING_VALUE = b"1"
+STATUS_UNAVAILABLE = 503
 
 
 class LimitBroadcaster(Protocol):
@@ -41,6 +45,11 @@
         Tells the other VMs.
     clock : Clock
         Tells the time.
+
+    Attributes
+    ----------
+    odd_pauses : int
+        Pauses that servers asked for and that can't be read.
     """
 
     __slots__ = (
@@ -50,6 +59,7 @@
         "_coordinator",
         "_names",
         "_own",
+        "odd_pauses",
     )
 
     def __init__(
@@ -66,6 +76,7 @@
         self._coordinator = coordinator
         self._names = names
         self._own = own
+        self.odd_pauses = 0
 
     def record_request(self) -> None:
         """Record that this VM has a caller."""
@@ -95,6 +106,10 @@
         float or None
             In requests a second; None when the answer names no limit.
         """
+        self._hear_leaving(server, answer)
+        self._hear_pause(server, answer)
+        if can_end:
+            server.demands.record_success(sent_at_s)
         is_readable, rate_per_s = self._read_limit(answer)
         if rate_per_s is None and not can_end:
             return None
@@ -115,6 +130,8 @@
         sent_at_s : float
             Monotonic time at which the check was sent, in seconds.
         """
+        self._hear_leaving(server, answer)
+        self._hear_pause(server, answer)
         is_readable, rate_per_s = self._read_limit(answer)
         now_s = self._clock.read_monotonic_s()
         if is_readable and self._coordinator.statements.record_check(
@@ -127,6 +144,10 @@
         now_s = self._clock.read_monotonic_s()
         news = []
         for limit in limits:
+            if limit.is_leaving:
+                if self._coordinator.record_leaving(limit.server_key, False):
+                    news.append(limit)
+                continue
             heard_at_s = now_s - limit.age_ms / MS_PER_S
             if self._coordinator.statements.apply_notice(
                 limit.server_key, limit.rate_per_s, heard_at_s
@@ -140,12 +161,14 @@
     def list_limits(self) -> list[ServerLimit]:
         """Return what servers have said, for a VM that may not know it."""
         now_s = self._clock.read_monotonic_s()
-        return [
+        limits = [
             ServerLimit(
                 one.server_key, int((now_s - one.heard_at_s) * MS_PER_S), one.rate_per_s
             )
             for one in self._coordinator.statements.list_statements()
         ]
+        leaving = self._coordinator.list_leaving()
+        return limits + [ServerLimit(key, 0, is_leaving=True) for key in leaving]
 
     def apply_heartbeat(self, heartbeat: VmHeartbeat) -> bool:
         """Apply the heartbeat of another VM, and return whether it is news."""
@@ -183,6 +206,35 @@
         self._coordinator.is_leaving = True
         self._coordinator.share_limits()
 
+    def _hear_leaving(self, server: ServerView, answer: HttpAnswer) -> None:
+        """Hear whether a server says that it leaves, and tell all VMs."""
+        value = answer.find_header(self._names.leaving)
+        if value is None or value.strip() != LEAVING_VALUE:
+            return
+        if self._coordinator.record_leaving(server.key, True):
+            logger.bind(server=server.key).info("server says that it leaves")
+            limit = ServerLimit(server.key, 0, is_leaving=True)
+            self._broadcaster.broadcast_limits([limit])
+
+    def _hear_pause(self, server: ServerView, answer: HttpAnswer) -> None:
+        """Hear for how long a server that turns requests away wants none."""
+        value = answer.find_header(HEADER_RETRY_AFTER)
+        if value is None or answer.status != STATUS_UNAVAILABLE:
+            return
+        pause_s = parse_pause_s(value)
+        if pause_s is None:
+            self.odd_pauses += 1
+            logger.bind(server=server.key, count=self.odd_pauses).debug(
+                "a pause can't be read"
+            )
+            return
+        now_s = self._clock.read_monotonic_s()
+        if pause_s > 0 and server.demands.is_open(now_s):
+            logger.bind(server=server.key, seconds=pause_s).info(
+                "server asks for a pause"
+            )
+        server.demands.record_pause(pause_s, now_s)
+
     def _read_limit(self, answer: HttpAnswer) -> tuple[bool, float | None]:
         """Return whether an answer can be read, and the limit that it names."""
         value = answer.find_header(self._names.rate_limit)
--- a/tests/cardamomtack_daemon/forwarding/case.py
+++ b/tests/cardamomtack_daemon/forwarding/case.py
@@ -53,6 +53,7 @@
     load=b"test-load",
     server_id=b"test-server",
     rate_limit=b"test-limit",
+    leaving=b"test-leaving",
     warm_up_ms=b"test-warm-up",
     parse_load=parse_load,
     parse_rate_limit=float,
--- a/tests/cardamomtack_daemon/forwarding/servers.py
+++ b/tests/cardamomtack_daemon/forwarding/servers.py
@@ -84,10 +84,12 @@
     return f"HTTP/1.1 {status} X\r\n{head}\r\n".encode() + body
 
 
-def write_not_run(request: ServerRequest, status: int = 503) -> bytes:
+def write_not_run(request: ServerRequest, status: int = 503, **fields: str) -> bytes:
     """Return the answer of a server that did not run a request."""
     named = request.headers.get(b"test-id", b"").decode()
     head = f"HTTP/1.1 {status} X\r\ntest-id: {named}\r\ntest-not-run: 1\r\n"
+    for name, value in fields.items():
+        head += f"{name.replace('_', '-')}: {value}\r\n"
     return f"{head}content-length: 0\r\n\r\n".encode()
 
 
