Soak servers that leave by their own word, and servers that ask for a pause

Each server checks from what it gets that a VM which it has told sends it nothing two seconds later, and no more than two requests within a pause.

--- a/tests/cardamomtack_daemon/replicas/test_soak.py
+++ b/tests/cardamomtack_daemon/replicas/test_soak.py
@@ -9,6 +9,7 @@
 import os
 import unittest
 from collections import Counter
+from dataclasses import dataclass
 from random import Random
 
 import anyio
@@ -39,6 +40,7 @@
 FOREIGN += b"content-length: 5\r\n\r\nother"
 
 GRACE_S = 2.5
+LEAVING_HEARD_S = 2.0
 LIMIT_HEARD_S = 3.0
 """After how long all VMs keep a limit that a server names."""
 
@@ -54,16 +56,41 @@
     "late",
     "short",
     "unsigned",
+    "pause",
 )
+PAUSE_HEARD_S = 0.5
+PAUSE_REQUESTS_MAX = 2
+PAUSE_S_MAX = 3.0
 WRITTEN_AGAIN_S_MAX = 1.0
 STALE = b"HTTP/1.1 503 X\r\ntest-not-run: 1\r\ncontent-length: 0\r\n\r\n"
 
 
+@dataclass(slots=True)
+class Pause:
+    """A time in which a server wants nothing from a VM."""
+
+    from_s: float
+    until_s: float
+    requests: int = 0
+
+
 class SoakServer(ScriptedServer):
     """A server whose behaviour shifts, and that counts what it runs."""
 
-    def __init__(self, server_id: str, random: Random, runs: Counter) -> None:
+    def __init__(
+        self,
+        server_id: str,
+        random: Random,
+        runs: Counter,
+        senders: dict[str, str],
+        findings: list[str],
+    ) -> None:
         super().__init__(server_id)
+        self.is_leaving = False
+        self._findings = findings
+        self._pauses: dict[str, list[Pause]] = {}
+        self._senders = senders
+        self._told_at_s: dict[str, float] = {}
         self.mode = "good"
         self.drains_at_s = float("inf")
         self.incarnation = 1
@@ -78,7 +105,12 @@
         """Run a request as the mode of now says, half of the time."""
         request_id = request.headers[b"test-id"].decode()
         self.arrived_s.append(anyio.current_time())
+        vm = self._senders.get(request_id, "")
+        self.check_demands(vm, request_id)
         fields = {}
+        if self.is_leaving:
+            fields["test_leaving"] = "1"
+            self._told_at_s.setdefault(vm, anyio.current_time())
         if self.limit_per_s is not None:
             fields["test_limit"] = f"{self.limit_per_s:g}"
         if anyio.current_time() > self.drains_at_s + DRAIN_S_MAX:
@@ -87,6 +119,13 @@
         if mode == "shed":
             await stream.send(write_not_run(request))
             return
+        if mode == "pause":
+            pause_s = round(self._random.uniform(0.2, PAUSE_S_MAX), 2)
+            now_s = anyio.current_time()
+            pause = Pause(now_s + PAUSE_HEARD_S, now_s + pause_s)
+            self._pauses.setdefault(vm, []).append(pause)
+            await stream.send(write_not_run(request, retry_after=str(pause_s)))
+            return
         self._runs[request_id] += 1
         await anyio.sleep(self._random.uniform(0.0, 0.05))
         whole = write_answer(request, 200, request_id.encode(), **fields)
@@ -104,6 +143,24 @@
             before = {"foreign": FOREIGN, "stale": STALE}.get(mode, b"")
             await stream.send(before + whole)
 
+    def check_demands(self, vm: str, request_id: str) -> None:
+        """Note a request that a server had asked its VM not to send."""
+        now_s = anyio.current_time()
+        if now_s > self._told_at_s.get(vm, now_s) + LEAVING_HEARD_S:
+            self._findings.append(f"{request_id} came to leaving {self.server_id}")
+        for pause in self._pauses.get(vm, []):
+            if not pause.from_s < now_s < pause.until_s:
+                continue
+            pause.requests += 1
+            if pause.requests > PAUSE_REQUESTS_MAX:
+                self._findings.append(f"{request_id} came in a pause")
+
+    def stay(self) -> None:
+        """Start anew: what was said before holds no longer."""
+        self.is_leaving = False
+        self._pauses.clear()
+        self._told_at_s.clear()
+
     def count_most(self, since_s: float, until_s: float) -> int:
         """Return the most requests that came in a window of a limit."""
         times = [one for one in self.arrived_s if since_s <= one <= until_s]
@@ -126,6 +183,7 @@
         self.answers: dict[str, CallerAnswer] = {}
         self.findings: list[str] = []
         self.killed: set[EntryVm] = set()
+        self.senders: dict[str, str] = {}
         self.unanswered: list[str] = []
         self.version = 1
         self.last = 0
@@ -137,7 +195,9 @@
         ]
         self.scopes = [anyio.CancelScope() for _ in range(VMS)]
         self.servers = [
-            SoakServer(f"server-{number}", self.random, self.runs)
+            SoakServer(
+                f"server-{number}", self.random, self.runs, self.senders, self.findings
+            )
             for number in range(SERVERS)
         ]
 
@@ -202,7 +262,7 @@
 
     async def async_call_on_kept(self, vm: EntryVm, caller: Caller) -> bool:
         """Send one request and return whether another may follow it."""
-        request_id, route, body = self.choose_request()
+        request_id, route, body = self.choose_request(vm)
         answer = await caller.async_call(route, request_id, body, DEADLINE_MS)
         self.record_answer(vm, request_id, answer)
         is_closing = answer.headers.get("connection") == "close"
@@ -210,19 +270,21 @@
 
     async def async_call(self, vm: EntryVm) -> None:
         """Send one request on a new connection and keep its answer."""
-        request_id, route, body = self.choose_request()
+        request_id, route, body = self.choose_request(vm)
         try:
             answer = await vm.async_call(route, request_id, body, DEADLINE_MS)
         except CALL_ERRORS:
             return
         self.record_answer(vm, request_id, answer)
 
-    def choose_request(self) -> tuple[str, str, bytes]:
-        """Return the id, the route and the body of the next request."""
+    def choose_request(self, vm: EntryVm) -> tuple[str, str, bytes]:
+        """Return the id, the route and the body of the next request, at a VM."""
         self.last += 1
         is_booking = self.random.random() < 0.5
         route, body = ("book", b"van") if is_booking else ("read", b"")
-        return f"{route}-{self.last}", route, body
+        request_id = f"{route}-{self.last}"
+        self.senders[request_id] = f"{vm.settings.vm_id} {id(vm)}"
+        return request_id, route, body
 
     def record_answer(self, vm: EntryVm, request_id: str, answer: CallerAnswer) -> None:
         """Keep an answer, or that a VM which was not killed gave none."""
@@ -237,6 +299,7 @@
             self.async_shift_server,
             self.async_crash_server,
             self.async_drain_server,
+            self.async_leave_unlisted,
             self.async_cut_store,
             self.async_restore_store,
             self.async_kill_vm,
@@ -279,9 +342,19 @@
         await anyio.sleep(DRAIN_S_MAX + 1.0)
         self.register_anew(server)
 
+    async def async_leave_unlisted(self) -> None:
+        """Let a server say in its answers alone that it leaves, and start anew."""
+        server = self.random.choice(self.servers)
+        if server.is_leaving:
+            return
+        server.is_leaving = True
+        await anyio.sleep(DRAIN_S_MAX + 1.0)
+        self.register_anew(server)
+
     def register_anew(self, server: SoakServer) -> None:
         """Register a server as another incarnation that is ready."""
         server.incarnation += 1
+        server.stay()
         server.drains_at_s = float("inf")
         self.store.register(server.make_entry(incarnation=server.incarnation))
 
