--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from math import ceil
 from random import Random
 from typing import Protocol
 
@@ -35,21 +34,14 @@
     ServerLimit,
     ServerLimits,
     Subscribe,
-    TopicFreshness,
-    TopicPosition,
     TopicRecords,
     VmHeartbeat,
 )
-from cardamomtack.helpers.clock import MS_PER_S, Clock
-from cardamomtack.replicas.const import STALE_AFTER_S
+from cardamomtack.helpers.clock import Clock
 from cardamomtack.replicas.members import MemberTable
 from cardamomtack.replicas.peer_clock import PeerClock
-from cardamomtack.replicas.topic import (
-    END_UNKNOWN,
-    HISTORY_UNKNOWN,
-    TopicGapError,
-    TopicReplica,
-)
+from cardamomtack.replicas.replica_set import ReplicaSet
+from cardamomtack.replicas.topic import TopicGapError, TopicReplica
 from cardamomtack_daemon.peers.stream import (
     STREAM_ERRORS,
     MessageStream,
@@ -137,7 +129,7 @@
         self._confirmed = Event()
         self._members = members
         self._notices: OrderedDict[str, CrashNotice] = OrderedDict()
-        self._replicas = {replica.topic: replica for replica in replicas}
+        self._replicas = ReplicaSet(replicas, clock)
         self._subscribers: set[Outbox] = set()
         self._upstream: Outbox | None = None
         self._upstream_id = ""
@@ -199,7 +191,7 @@
         """
         while True:
             await sleep(ASK_PAUSE_S)
-            if not self._is_stale(self._clock.read_boot_s()):
+            if not self._replicas.is_stale():
                 continue
             other = self._members.choose_other(self._random, self._upstream_id)
             if other is None:
@@ -224,14 +216,15 @@
         async with stream:
             messages = MessageStream(stream, RelayMessage)
             peer_clock = PeerClock(self._clock.read_boot_s())
-            subscription = self._write_subscription(wants_members=False)
-            await messages.async_send_frame(encode_frame(subscription))
+            await messages.async_send_frame(self._encode_subscription(False))
             is_told = False
             while not is_told:
                 message = await messages.async_receive(SILENCE_S_MAX)
                 self._handle_message(message, None, other.vm_id)
                 if message.freshness is not None:
-                    self._apply_freshness(message.freshness, other.vm_id, peer_clock)
+                    self._replicas.apply_freshness(
+                        message.freshness, other.vm_id, peer_clock
+                    )
                     is_told = True
 
     async def _async_subscribe_to(self, upstream: Member) -> bool:
@@ -261,7 +254,7 @@
                 logger.bind(upstream=upstream.vm_id).info("hearing from upstream VM")
                 self._upstream = outbox
                 self._upstream_id = upstream.vm_id
-                outbox.send_nowait(encode_frame(self._write_subscription()))
+                outbox.send_nowait(self._encode_subscription(True))
                 self._send_notices(outbox)
                 await self._async_receive_messages(messages, outbox, upstream)
                 tasks.cancel_scope.cancel()
@@ -298,8 +291,10 @@
             self._handle_message(message, outbox, upstream.vm_id)
             now_s = self._clock.read_monotonic_s()
             if message.freshness is not None:
-                self._apply_freshness(message.freshness, upstream.vm_id, peer_clock)
-                self._rate_upstream(upstream, message.freshness, now_s)
+                self._replicas.apply_freshness(
+                    message.freshness, upstream.vm_id, peer_clock
+                )
+                self._rate_upstream(upstream, message.freshness)
             best = self._members.choose_upstream(now_s)
             if best is None or best.vm_id != upstream.vm_id:
                 return
@@ -307,26 +302,15 @@
                 # Another subscription to the same VM tells its times more closely.
                 return
 
-    def _rate_upstream(
-        self, upstream: Member, freshness: Freshness, now_s: float
-    ) -> None:
+    def _rate_upstream(self, upstream: Member, freshness: Freshness) -> None:
         """Pass over an upstream VM that the store does not answer while it does others.
 
         When the store answers nobody, all go on to hear from whom they heard before.
         """
-        boot_s = self._clock.read_boot_s()
-        told = {
-            topic.topic
-            for topic in freshness.topics
-            if topic.history >= self._replicas[topic.topic].history
-        }
-        if len(told) == len(self._replicas):
+        if self._replicas.covers_all(freshness):
             self._members.mark_reachable(upstream.vm_id)
-        elif any(
-            topic not in told and replica.is_fresh_without(upstream.vm_id, boot_s)
-            for topic, replica in self._replicas.items()
-        ):
-            self._members.mark_unreachable(upstream.vm_id, now_s)
+        elif self._replicas.knows_more(freshness, upstream.vm_id):
+            self._mark_unreachable(upstream)
 
     async def _async_serve_subscriber(self, stream: SocketStream) -> None:
         """Serve one subscriber until its stream ends."""
@@ -350,18 +334,14 @@
 
     def _welcome(self, subscribe: Subscribe, outbox: Outbox) -> None:
         """Send a new subscriber what it does not know yet."""
-        known = {one.topic: (one.history, one.end) for one in subscribe.positions}
         if subscribe.wants_members:
             members = Members(self._members.list_members())
             outbox.send_nowait(encode_frame(RelayMessage(members=members)))
-        for topic, replica in self._replicas.items():
-            position = known.get(topic, (HISTORY_UNKNOWN, END_UNKNOWN))
-            if replica.position > position or replica.has_earlier_records:
-                message = RelayMessage(records=replica.build_newest_records())
-                outbox.send_nowait(encode_frame(message))
+        for page in self._replicas.list_newer(subscribe):
+            outbox.send_nowait(encode_frame(RelayMessage(records=page)))
         self._send_notices(outbox)
         self._subscribers.add(outbox)
-        outbox.send_nowait(encode_frame(self._write_freshness()))
+        outbox.send_nowait(self._encode_freshness())
         self._apply_members([subscribe.member], outbox)
 
     def _handle_message(
@@ -375,9 +355,7 @@
             When records are missing; a new subscription brings them.
         """
         if message.records is not None:
-            replica = self._replicas.get(message.records.topic)
-            if replica is not None:
-                replica.apply_records(message.records, vm_id)
+            self._replicas.apply_records(message.records, vm_id)
         if message.members is not None:
             self._apply_members(message.members.members, source)
         if message.crash is not None:
@@ -388,21 +366,6 @@
         if heartbeat is not None and self._listener.apply_heartbeat(heartbeat):
             self._forward(message, source)
 
-    def _apply_freshness(
-        self, freshness: Freshness, vm_id: str, peer_clock: PeerClock
-    ) -> None:
-        """Apply what another VM says of the age of its topics."""
-        now_s = self._clock.read_boot_s()
-        sent_at_s = peer_clock.find_sent_at_s(freshness.sent_at_ms, now_s)
-        for topic in freshness.topics:
-            replica = self._replicas.get(topic.topic)
-            if (
-                replica is not None
-                and replica.history == topic.history
-                and replica.end >= topic.end
-            ):
-                replica.confirm(sent_at_s - topic.age_ms / MS_PER_S, vm_id)
-
     def _apply_members(self, members: list[Member], source: Outbox | None) -> None:
         """Apply news of VMs and forward what is new."""
         new = [member for member in members if self._members.update_member(member)]
@@ -470,7 +433,7 @@
             await sleep(FRESHNESS_GAP_S)
             self._confirmed = Event()
             if self._subscribers:
-                frame = encode_frame(self._write_freshness())
+                frame = self._encode_freshness()
                 for outbox in list(self._subscribers):
                     self._send(outbox, frame)
 
@@ -482,31 +445,14 @@
             self._subscribers.discard(outbox)
             outbox.close()
 
-    def _is_stale(self, now_s: float) -> bool:
-        """Return whether a topic has not been confirmed for too long."""
-        return any(
-            replica.compute_age_s(now_s) > STALE_AFTER_S
-            for replica in self._replicas.values()
-        )
+    def _encode_subscription(self, wants_members: bool) -> bytes:
+        """Return the frame of the first message to another VM."""
+        subscribe = self._replicas.write_subscription(self._members.own, wants_members)
+        return encode_frame(RelayMessage(subscribe=subscribe))
 
-    def _write_subscription(self, wants_members: bool = True) -> RelayMessage:
-        """Return the first message to another VM."""
-        positions = [
-            TopicPosition(topic, replica.end, replica.history)
-            for topic, replica in self._replicas.items()
-        ]
-        subscribe = Subscribe(self._members.own, positions, wants_members)
-        return RelayMessage(subscribe=subscribe)
-
-    def _write_freshness(self) -> RelayMessage:
-        """Return the heartbeat; topics that are stale here are left out."""
-        now_s = self._clock.read_boot_s()
-        topics = [
-            TopicFreshness(topic, replica.end, ceil(age_s * MS_PER_S), replica.history)
-            for topic, replica in self._replicas.items()
-            if (age_s := replica.compute_age_s(now_s)) <= STALE_AFTER_S
-        ]
-        return RelayMessage(freshness=Freshness(topics, int(now_s * MS_PER_S)))
+    def _encode_freshness(self) -> bytes:
+        """Return the frame of a heartbeat."""
+        return encode_frame(RelayMessage(freshness=self._replicas.write_freshness()))
 
 
 async def _async_write(
