--- a/packages/cardamomtack/src/cardamomtack/limits/const.py
+++ b/packages/cardamomtack/src/cardamomtack/limits/const.py
@@ -19,6 +19,9 @@
 LEAVING_KEPT: Final = 5000
 """Servers of which it is remembered that they leave."""
 
+LEAVING_TOLD: Final = 200
+"""How many of them, the latest, a VM is told that may have missed them."""
+
 NOTICE_DELAY_S_MAX: Final = 0.5
 PAUSE_S_MAX: Final = 60.0
 """Longest pause that a server is believed to want."""
--- a/packages/cardamomtack/src/cardamomtack/limits/coordinator.py
+++ b/packages/cardamomtack/src/cardamomtack/limits/coordinator.py
@@ -16,6 +16,7 @@
 from cardamomtack.limits.const import (
     IDLE_AFTER_S,
     LEAVING_KEPT,
+    LEAVING_TOLD,
     TRIAL_RATE_PER_S,
 )
 from cardamomtack.limits.presence import PresenceTable, compute_heartbeat_s
@@ -126,8 +127,8 @@
         return known is None
 
     def list_leaving(self) -> list[str]:
-        """Return the keys of the servers that have said that they leave."""
-        return list(self._leaving)
+        """Return the keys of the servers that have said last that they leave."""
+        return list(self._leaving)[-LEAVING_TOLD:]
 
     def _mark_leaving(self) -> None:
         """Mark the servers that leave, also one whose entry has come back."""
