--- a/tests/cardamomtack_daemon/forwarding/test_answers.py
+++ b/tests/cardamomtack_daemon/forwarding/test_answers.py
@@ -259,6 +259,14 @@
 
         self.play(scenario)
 
+    def test_odd_deadline_of_a_caller_is_an_internal_error(self):
+        async def scenario(vm, servers):
+            for deadline_ms in (10**300, 10**1500, -1):
+                answer = await vm.async_call("read", "x-1", deadline_ms=deadline_ms)
+                self.assertEqual(answer.status, 200)
+
+        self.play(scenario)
+
 
 class TimeTest(ForwardingCase):
     """Deadlines, callers that leave, and long waits."""
