Log how large a version is, how long it takes, and what had arrived of a message

The logs did not tell a link that is full from a message that is given up half-way and from a loop that stands. No logic is changed.

--- a/packages/cardamomtack/src/cardamomtack/routing/coordinator.py
+++ b/packages/cardamomtack/src/cardamomtack/routing/coordinator.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from cardamomtack.generated.relay import TopicRecord
+from cardamomtack.helpers.clock import MS_PER_S, Clock
 from cardamomtack.routing.policy import FleetConfiguration
 from cardamomtack.routing.table import PrefixRoutes
 
@@ -40,18 +41,22 @@
         Decodes records.
     routes : PrefixRoutes
         The routes in force.
+    clock : Clock
+        Tells how long a version takes to come into force, for the log.
     read_source : callable
         Returns who told the records, for the log.
     """
 
-    __slots__ = ("_codec", "_read_source", "_routes")
+    __slots__ = ("_clock", "_codec", "_read_source", "_routes")
 
     def __init__(
         self,
         codec: ConfigurationCodec,
         routes: PrefixRoutes,
+        clock: Clock,
         read_source: Callable[[], str] = lambda: "",
     ) -> None:
+        self._clock = clock
         self._codec = codec
         self._read_source = read_source
         self._routes = routes
@@ -59,6 +64,7 @@
     def apply_records(self, records: list[TopicRecord]) -> None:
         """Take records; one that can't be used leaves the version in force."""
         for record in records:
+            began_s = self._clock.read_monotonic_s()
             try:
                 configuration = self._codec.decode_configuration(record)
             except ConfigurationRecordError as error:
@@ -76,6 +82,10 @@
                     version=configuration.version,
                     offset=record.offset,
                     source=self._read_source(),
+                    bytes=len(record.value),
+                    took_ms=round(
+                        (self._clock.read_monotonic_s() - began_s) * MS_PER_S, 1
+                    ),
                 ).info("configuration in force")
                 self._log_findings(configuration)
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -190,7 +190,7 @@
         configuration = TopicReplica(TOPIC_CONFIGURATION, sources.configuration_order)
         configuration.add_listener(
             RoutingCoordinator(
-                codec, self._routes, lambda: configuration.source
+                codec, self._routes, clock, lambda: configuration.source
             ).apply_records
         )
         servers = TopicReplica(TOPIC_SERVERS, sources.servers_order)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/stream.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/stream.py
@@ -58,6 +58,19 @@
         self._stream = stream
         self._received = bytearray()
 
+    @property
+    def arrived_bytes(self) -> int:
+        """Return how many bytes of a message that is not whole have arrived."""
+        return len(self._received)
+
+    @property
+    def expected_bytes(self) -> int:
+        """Return the bytes of the message that arrives, 0 before its length is known."""
+        if len(self._received) < FRAME_LENGTH_BYTES:
+            return 0
+        length = int.from_bytes(self._received[:FRAME_LENGTH_BYTES], "big")
+        return FRAME_LENGTH_BYTES + length
+
     async def async_send_frame(self, frame: bytes) -> None:
         """Send a frame."""
         await self._stream.send(frame)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -259,9 +259,12 @@
                 await self._async_receive_messages(messages, outbox, upstream)
                 tasks.cancel_scope.cancel()
         except* RELAY_ERRORS as group:
-            logger.bind(upstream=upstream.vm_id, error=repr(group.exceptions[0])).info(
-                "stream from upstream VM ended"
-            )
+            logger.bind(
+                upstream=upstream.vm_id,
+                error=repr(group.exceptions[0]),
+                arrived_bytes=messages.arrived_bytes,
+                expected_bytes=messages.expected_bytes,
+            ).info("stream from upstream VM ended")
             self._mark_unreachable(upstream)
         finally:
             self._upstream = None
