Tests of a large configuration over small links, which fail

What callers saw: requests handled as an old version says, seconds after a change (CONFIG). Four tests of the three hypotheses that can fail: a change of 4,200 routes over links of 5 Mbit/s, its bytes, a message and an answer of the store that take long. The stand-in of the store can answer slowly.

--- a/packages/cardamomtack_standins/src/cardamomtack_standins/asgi.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/asgi.py
@@ -4,13 +4,16 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from math import inf
 from typing import Any, Protocol
 from urllib.parse import parse_qsl
 
-from anyio import Event
+from anyio import Event, sleep
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+PART_BYTES = 16_384
+
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -28,12 +31,19 @@
 
 @dataclass(slots=True)
 class ServiceReply:
-    """A reply of a stand-in; status 0 breaks the connection without a reply."""
+    """A reply of a stand-in; status 0 breaks the connection without a reply.
+
+    Attributes
+    ----------
+    bytes_per_s : float
+        Bandwidth over which the body leaves.
+    """
 
     status: int
     body: bytes = b""
     content_type: bytes = b"application/json"
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    bytes_per_s: float = inf
 
 
 class Service(Protocol):
@@ -83,7 +93,12 @@
         ]
         start = {"type": "http.response.start", "status": reply.status}
         await send({**start, "headers": headers})
-        await send({"type": "http.response.body", "body": reply.body})
+        body = {"type": "http.response.body"}
+        for begin in range(0, len(reply.body), PART_BYTES):
+            part = reply.body[begin : begin + PART_BYTES]
+            await send({**body, "body": part, "more_body": True})
+            await sleep(len(part) / reply.bytes_per_s)
+        await send(body)
 
 
 async def async_serve_service(
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/keyed_store.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/keyed_store.py
@@ -8,6 +8,7 @@
 
 from base64 import b64encode
 from dataclasses import dataclass, field, replace
+from math import inf
 
 from anyio import Event, move_on_after, sleep, sleep_forever
 from msgspec import json
@@ -38,6 +39,8 @@
         Time after which a write whose answer is lost takes effect, in seconds.
     delay_s : float
         Time before each answer, in seconds.
+    bytes_per_s : float
+        Bandwidth over which answers leave.
     """
 
     status: int = 0
@@ -45,6 +48,7 @@
     loses_answers: bool = False
     late_s: float = 0.0
     delay_s: float = 0.0
+    bytes_per_s: float = inf
 
 
 @dataclass(slots=True)
@@ -158,6 +162,7 @@
         reply = await self._async_act(request)
         if faults.loses_answers:
             return ServiceReply(0)
+        reply.bytes_per_s = faults.bytes_per_s
         if self.history:
             reply.headers.append((HEADER_HISTORY, str(self.history).encode()))
         return reply
--- a/tests/cardamomtack_daemon/forwarding/memory.py
+++ b/tests/cardamomtack_daemon/forwarding/memory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 import anyio
 
 from cardamomtack.discovery.entry import ServerEntry
@@ -50,6 +52,8 @@
         Whether reads fail at once.
     is_silent : bool
         Whether reads get no answer.
+    link_bytes_per_s : float
+        Bandwidth over which this VM reads.
     """
 
     def __init__(self, topic: str) -> None:
@@ -57,6 +61,7 @@
         self.log = MemoryLog()
         self.is_out = False
         self.is_silent = False
+        self.link_bytes_per_s = inf
         self.reads = 0
         self.changed = anyio.Event()
 
@@ -75,6 +80,7 @@
         await self._async_begin(timeout_s)
         newest = {record.key: record for record in self.records}
         records = [record for record in newest.values() if record.value]
+        await self._async_transfer(records)
         return TopicRecords(
             self.topic, START_NEWEST, len(self.records), records, self.log.history
         )
@@ -88,17 +94,23 @@
         if offset >= len(self.records) and wait_s > 0:
             with anyio.move_on_after(wait_s):
                 await self.changed.wait()
-        return TopicRecords(
+        page = TopicRecords(
             self.topic,
             offset,
             len(self.records),
             self.records[offset:],
             self.log.history,
         )
+        await self._async_transfer(page.records)
+        return page
 
     def close(self) -> None:
         """Keep nothing."""
 
+    async def _async_transfer(self, records: list[TopicRecord]) -> None:
+        size = sum(len(record.value) for record in records)
+        await anyio.sleep(size / self.link_bytes_per_s)
+
     async def _async_begin(self, timeout_s: float) -> None:
         self.reads += 1
         if self.is_out:
@@ -158,14 +170,23 @@
 
 
 class MemoryCodec:
-    """Finds the objects that stand behind the records of a test."""
+    """Finds the objects that stand behind the records of a test.
+
+    Attributes
+    ----------
+    padding : bytes
+        Makes the records of configurations as long as real ones.
+    """
 
     def __init__(self) -> None:
         self.objects: dict[bytes, object] = {}
+        self.padding = b""
 
     def encode(self, value: object) -> bytes:
         """Return the record of an object."""
         name = str(len(self.objects)).encode()
+        if isinstance(value, FleetConfiguration) and self.padding:
+            name += b"," + self.padding
         self.objects[name] = value
         return name
 
--- a/tests/cardamomtack_daemon/peers/test_stream.py
+++ b/tests/cardamomtack_daemon/peers/test_stream.py
@@ -40,6 +40,29 @@
     return received
 
 
+async def async_receive_slowly(size: int, duration_s: float) -> PeerMessage:
+    """Return a message whose bytes arrive all the time, and for long."""
+    message = PeerMessage(hello=Hello("v" * size, "incarnation"))
+    frame = encode_frame(message)
+    parts = 20
+
+    async def send(stream: SocketStream) -> None:
+        async with stream:
+            for part in range(parts):
+                begin, end = (len(frame) * one // parts for one in (part, part + 1))
+                await stream.send(frame[begin:end])
+                await anyio.sleep(duration_s / parts)
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, send)
+        async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+            received = await MessageStream(stream, PeerMessage).async_receive(0.3)
+        tasks.cancel_scope.cancel()
+    return received
+
+
 class MessageStreamTest(unittest.TestCase):
     """Frames that come together, apart, or broken."""
 
@@ -55,6 +78,10 @@
                 received = anyio.run(async_receive, parts, 2)
                 self.assertEqual(received, [FIRST, SECOND])
 
+    def test_message_that_takes_long_is_taken_for_silence(self):
+        received = anyio.run(async_receive_slowly, 200_000, 1.0)
+        self.assertEqual(len(received.hello.vm_id), 200_000)
+
     def test_broken_frames(self):
         cases = [
             ("cut", [WHOLE[:20]], anyio.EndOfStream),
--- /dev/null
+++ b/tests/cardamomtack_daemon/replicas/test_large_configuration.py
@@ -0,0 +1,97 @@
+"""A configuration of thousands of routes among VMs with small links."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+import anyio
+
+from cardamomtack.generated.relay import Member
+from cardamomtack_standins.fleet import find_free_ports
+from tests.cardamomtack_daemon.forwarding.memory import ROUTES, make_configuration
+from tests.cardamomtack_daemon.replicas.links import SmallLink
+from tests.cardamomtack_daemon.replicas.test_fleet import (
+    APPLY_S,
+    ONLY_READ,
+    RelayFleet,
+)
+
+LINK_BYTES_PER_S = 625_000.0
+"""The smallest link of the users' VMs: 5 Mbit/s."""
+
+ROUTES_IDLE = 4200
+VMS = 9
+
+
+def describe_routes(count: int) -> bytes:
+    """Return the text of many routes that nobody uses."""
+    random = Random(1)
+    return b",".join(
+        b'{"name":"r-%05d","pathPrefix":"/%08x/","kind":"idempotent","timeoutS":4.0,'
+        b'"sloS":1.0,"priority":2,"attempts":3,"service":"s"}'
+        % (number, random.getrandbits(32))
+        for number in range(count)
+    )
+
+
+class LinkedFleet(RelayFleet):
+    """VMs whose relays are reached over small links."""
+
+    def __init__(self, count: int, routes_idle: int) -> None:
+        super().__init__(count)
+        self.vms[0].codec.padding = describe_routes(routes_idle)
+        self.links = []
+        for vm in self.vms:
+            own = vm.daemon._members.own
+            (port,) = find_free_ports(1)
+            self.links.append(SmallLink(port, own.port, LINK_BYTES_PER_S))
+            linked = Member(
+                own.vm_id, own.incarnation, own.availability_zone, own.address, port
+            )
+            vm.daemon._members.own = linked
+            vm.configuration.link_bytes_per_s = LINK_BYTES_PER_S
+
+
+class LargeConfigurationTest(unittest.TestCase):
+    """Nine VMs in two zones, two of them reading for all."""
+
+    def test_large_configuration_is_late_over_small_links(self):
+        async def run():
+            fleet = LinkedFleet(VMS, ROUTES_IDLE)
+            async with anyio.create_task_group() as tasks:
+                for link in fleet.links:
+                    await tasks.start(link.async_serve)
+                async with fleet.run():
+                    for version, routes in ((2, ONLY_READ), (3, ROUTES)):
+                        fleet.publish(version, routes)
+                        await anyio.sleep(0.5)
+                    fleet.publish(4)
+                    with anyio.fail_after(APPLY_S):
+                        await fleet.async_wait_in_force(fleet.vms)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run, backend_options={"use_uvloop": True})
+
+    def test_change_is_sent_whole_to_every_vm(self):
+        async def run():
+            fleet = LinkedFleet(VMS, ROUTES_IDLE)
+            async with anyio.create_task_group() as tasks:
+                for link in fleet.links:
+                    await tasks.start(link.async_serve)
+                async with fleet.run():
+                    before = sum(link.sent_bytes for link in fleet.links)
+                    fleet.publish(2)
+                    with anyio.fail_after(2 * APPLY_S):
+                        await fleet.async_wait_in_force(fleet.vms)
+                    await anyio.sleep(APPLY_S)
+                    sent = sum(link.sent_bytes for link in fleet.links) - before
+                tasks.cancel_scope.cancel()
+            # All changes of two seconds may take a tenth of the links of nine VMs.
+            self.assertLess(sent, VMS * APPLY_S * LINK_BYTES_PER_S / 10)
+
+        anyio.run(run, backend_options={"use_uvloop": True})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/cardamomtack_platform/test_store.py
+++ b/tests/cardamomtack_platform/test_store.py
@@ -93,6 +93,17 @@
 
         self.play(scenario)
 
+    def test_long_answer_is_given_up_while_it_arrives(self):
+        async def scenario(store, topic, members):
+            store.write(NAME, "a", b"v" * 400_000)
+            store.faults = StoreFaults(bytes_per_s=400_000)
+            page = await topic.async_read_from(0, 0.0, 0.4)
+            self.assertEqual(len(page.records[0].value), 400_000)
+            page = await topic.async_read_newest(0.4)
+            self.assertEqual(len(page.records[0].value), 400_000)
+
+        self.play(scenario)
+
     def test_read_that_waits_in_vain_returns_nothing(self):
         async def scenario(store, topic, members):
             page = await topic.async_read_from(0, 0.1, 1.0)
