Tell other VMs what has changed of a large value, and only the newest

Cause: every version went whole to every VM, in a queue behind those it had overtaken. At 15 subscribers and 5 Mbit/s a version of half a megabyte takes 12 s, and heartbeats and callers wait behind it.

Why this fixes it: a subscriber says which large values it has; a value is compressed against one of them, a page as a whole. What a subscriber lacks is worked out when its link takes it, so that nothing overtaken is sent, and a new stream brings only what has changed since. VMs of before are told as before.

--- a/packages/cardamomtack/src/cardamomtack/replicas/replica_set.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/replica_set.py
@@ -7,6 +7,7 @@
 from cardamomtack.generated.relay import (
     Freshness,
     Member,
+    PackedRecords,
     Subscribe,
     TopicFreshness,
     TopicPosition,
@@ -14,8 +15,10 @@
 )
 from cardamomtack.helpers.clock import MS_PER_S, Clock
 from cardamomtack.replicas.const import STALE_AFTER_S
+from cardamomtack.replicas.feed import TopicFeed
+from cardamomtack.replicas.packing import PagePacker, unpack_page
 from cardamomtack.replicas.peer_clock import PeerClock
-from cardamomtack.replicas.topic import END_UNKNOWN, HISTORY_UNKNOWN, TopicReplica
+from cardamomtack.replicas.topic import START_NEWEST, TopicReplica
 
 
 class ReplicaSet:
@@ -29,10 +32,11 @@
         Tells the time.
     """
 
-    __slots__ = ("_clock", "_replicas")
+    __slots__ = ("_clock", "_packer", "_replicas")
 
     def __init__(self, replicas: list[TopicReplica], clock: Clock) -> None:
         self._clock = clock
+        self._packer = PagePacker()
         self._replicas = {replica.topic: replica for replica in replicas}
 
     def apply_records(self, page: TopicRecords, vm_id: str) -> None:
@@ -47,6 +51,27 @@
         if replica is not None:
             replica.apply_records(page, vm_id)
 
+    def apply_packed(self, packed: PackedRecords, vm_id: str) -> None:
+        """Take records that another VM tells packed; what is known is left packed.
+
+        Raises
+        ------
+        BaseUnknownError
+            When they are packed against what is not known here; a new subscription
+            brings them.
+        PackingError
+            When they can't be read.
+        TopicGapError
+            When records are missing; a new subscription brings them.
+        """
+        replica = self._replicas.get(packed.topic)
+        if replica is None:
+            return
+        is_known = (packed.history, packed.end) <= replica.position
+        if packed.start == START_NEWEST or not is_known:
+            page = unpack_page(packed, replica.values.find)
+            replica.apply_records(page, vm_id)
+
     def is_stale(self) -> bool:
         """Return whether the store has not confirmed a topic for too long."""
         now_s = self._clock.read_boot_s()
@@ -58,20 +83,19 @@
     def write_subscription(self, own: Member, wants_members: bool) -> Subscribe:
         """Return the first message to another VM: what this one knows."""
         positions = [
-            TopicPosition(topic, replica.end, replica.history)
+            TopicPosition(
+                topic, replica.end, replica.history, replica.values.list_digests()
+            )
             for topic, replica in self._replicas.items()
         ]
         return Subscribe(own, positions, wants_members)
 
-    def list_newer(self, subscribe: Subscribe) -> list[TopicRecords]:
-        """Return the newest records of the topics of which a subscriber knows less."""
-        known = {one.topic: (one.history, one.end) for one in subscribe.positions}
-        nothing = (HISTORY_UNKNOWN, END_UNKNOWN)
+    def open_feeds(self, subscribe: Subscribe) -> list[TopicFeed]:
+        """Return what a subscriber has to be told of each topic, now and later."""
+        told = {position.topic: position for position in subscribe.positions}
         return [
-            replica.build_newest_records()
+            TopicFeed(replica, self._packer, told.get(topic))
             for topic, replica in self._replicas.items()
-            if replica.position > known.get(topic, nothing)
-            or replica.has_earlier_records
         ]
 
     def write_freshness(self) -> Freshness:
--- a/packages/cardamomtack/src/cardamomtack/replicas/topic.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/topic.py
@@ -17,15 +17,14 @@
 
 from cardamomtack.generated.relay import TopicRecord, TopicRecords
 from cardamomtack.replicas.const import STALE_AFTER_S
+from cardamomtack.replicas.large_values import LargeValues, is_large
+from cardamomtack.replicas.offsets import OFFSET_EARLIER, KeyOffsets
 
 DROPPED_KEPT = 2000
 """Dropped records that are remembered, so that a copy does not bring them back."""
 
 END_UNKNOWN = -1
 HISTORY_UNKNOWN = 0
-OFFSET_EARLIER = -1
-"""Offset of a record that only an earlier history of the store has."""
-
 SOURCE_STORE = "store"
 START_NEWEST = -1
 
@@ -75,8 +74,12 @@
         Offset up to which all records are known; -1 before the first snapshot.
     history : int
         History of the store that the offsets belong to.
+    revision : int
+        Grows with each change that has no place in the order of the offsets.
     source : str
         Who told the last records: the store, or the id of a VM.
+    values : LargeValues
+        The last large values, against which others are packed.
     """
 
     __slots__ = (
@@ -88,13 +91,15 @@
         "_listeners",
         "_offsets",
         "_order",
-        "_relays",
+        "_records_listeners",
         "_values",
         "_was_restored",
         "end",
         "history",
+        "revision",
         "source",
         "topic",
+        "values",
     )
 
     def __init__(self, topic: str, order: RecordOrder | None = None) -> None:
@@ -104,15 +109,17 @@
         self._dropped: OrderedDict[str, bytes] = OrderedDict()
         self._history_listeners: list[Callable[[], None]] = []
         self._listeners: list[ChangeListener] = []
-        self._offsets: dict[str, int] = {}
+        self._offsets = KeyOffsets()
         self._order = order or Unordered()
-        self._relays: list[Callable[[TopicRecords], None]] = []
+        self._records_listeners: list[Callable[[], None]] = []
         self._values: dict[str, bytes] = {}
         self._was_restored = False
         self.end = END_UNKNOWN
         self.history = HISTORY_UNKNOWN
+        self.revision = 0
         self.source = SOURCE_STORE
         self.topic = topic
+        self.values = LargeValues()
 
     @property
     def position(self) -> tuple[int, int]:
@@ -122,7 +129,12 @@
     @property
     def has_earlier_records(self) -> bool:
         """Return whether it holds records that the store has lost."""
-        return OFFSET_EARLIER in self._offsets.values()
+        return self._offsets.has_earlier
+
+    @property
+    def changes_from(self) -> int:
+        """Return the offset from which all changes are known."""
+        return self._offsets.changes_from
 
     def add_listener(self, listener: ChangeListener) -> None:
         """Call a listener with the records that change something."""
@@ -132,9 +144,9 @@
         """Call a listener before the records of another history are taken."""
         self._history_listeners.append(listener)
 
-    def add_records_listener(self, relay: Callable[[TopicRecords], None]) -> None:
-        """Call a relay with each range of records that is new here."""
-        self._relays.append(relay)
+    def add_records_listener(self, listener: Callable[[], None]) -> None:
+        """Call a listener whenever there is something new to tell others."""
+        self._records_listeners.append(listener)
 
     def add_confirmation_listener(self, listener: Callable[[], None]) -> None:
         """Call a listener whenever the store has confirmed the replica anew."""
@@ -171,11 +183,25 @@
     def build_newest_records(self) -> TopicRecords:
         """Return the newest record of each key."""
         records = [
-            TopicRecord(self._offsets[key], key, value)
-            for key, value in self._values.items()
+            TopicRecord(offset, key, self._values[key])
+            for key, offset in self._offsets.list_items()
         ]
         return TopicRecords(self.topic, START_NEWEST, self.end, records, self.history)
 
+    def build_changes(self, start: int) -> TopicRecords:
+        """Return the newest record of each key that has changed from an offset on.
+
+        Parameters
+        ----------
+        start : int
+            At least the offset from which all changes are known.
+        """
+        records = [
+            TopicRecord(offset, key, self._values.get(key, b""))
+            for offset, key in self._offsets.list_since(start)
+        ]
+        return TopicRecords(self.topic, start, self.end, records, self.history)
+
     def apply_records(self, page: TopicRecords, source: str = SOURCE_STORE) -> None:
         """Take a range of records, or the newest records of all keys.
 
@@ -203,13 +229,11 @@
             )
         if page.end <= self.end:
             return
-        known_end = self.end
-        records = [record for record in page.records if record.offset >= known_end]
+        # Of several records of a key the last one overtakes the others.
+        newest = {one.key: one for one in page.records if one.offset >= self.end}
         self.end = page.end
-        self._push([record for record in records if self._keep(record)])
-        ranged = TopicRecords(self.topic, known_end, page.end, records, self.history)
-        for relay in self._relays:
-            relay(ranged)
+        self._push([record for record in newest.values() if self._keep(record)])
+        self._tell_listeners()
 
     def _apply_newest(self, page: TopicRecords) -> None:
         """Take the newest records of all keys, unless they are older than known."""
@@ -218,16 +242,22 @@
             self._keep_earlier(page.records)
             return
         is_new = position > self.position
-        if page.history > self.history and self.end != END_UNKNOWN:
+        is_first = self.end == END_UNKNOWN
+        if page.history > self.history and not is_first:
             changes = self._begin_history(page)
         else:
             changes = self._drop_absent(page)
-            changes += [record for record in page.records if self._keep(record)]
+        if page.history > self.history or is_first:
+            self._offsets.changes_from = page.end
+        ordered = sorted(page.records, key=lambda record: record.offset)
+        changes += [record for record in ordered if self._keep(record)]
         self.end = page.end
         self.history = page.history
         self._push(changes)
+        if changes and not is_new:
+            self.revision += 1
         if is_new or changes:
-            self._relay_newest()
+            self._tell_listeners()
 
     def _begin_history(self, page: TopicRecords) -> list[TopicRecord]:
         """Take the first records of a store that has come back from a copy.
@@ -246,11 +276,8 @@
         self._was_restored = True
         for listener in self._history_listeners:
             listener()
-        # Offsets of another history say nothing in this one.
-        self._offsets = dict.fromkeys(self._values, OFFSET_EARLIER)
-        changes = self._remove_absent(page)
-        changes += [record for record in page.records if self._keep(record)]
-        return changes
+        self._offsets.begin_history(self._values)
+        return self._remove_absent(page)
 
     def _drop_absent(self, page: TopicRecords) -> list[TopicRecord]:
         """Drop the keys that newest records of this history lack, and return them."""
@@ -264,14 +291,14 @@
         """Remove the keys that newest records lack, and return what became of them."""
         named = {record.key for record in page.records}
         changes = [
-            TopicRecord(page.end, key, b"")
-            for key, offset in self._offsets.items()
+            TopicRecord(page.end - 1, key, b"")
+            for key, offset in self._offsets.list_items()
             if key not in named
             and offset < page.end
             and not (offset == OFFSET_EARLIER and self._order.keeps_absent)
         ]
         for change in changes:
-            del self._offsets[change.key]
+            self._offsets.record_drop(change.key, change.offset)
             del self._values[change.key]
         return changes
 
@@ -290,7 +317,8 @@
                 changes.append(earlier)
         if changes:
             self._push(changes)
-            self._relay_newest()
+            self.revision += 1
+            self._tell_listeners()
 
     def _keep(self, record: TopicRecord) -> bool:
         """Keep a record and return whether it is newer than what is known."""
@@ -303,7 +331,7 @@
         """Return whether what is known of a key is as new as a record, or newer."""
         if record.offset == OFFSET_EARLIER:
             return self._compare(record) <= 0
-        known_offset = self._offsets.get(record.key)
+        known_offset = self._offsets.find(record.key)
         if known_offset is not None and record.offset <= known_offset:
             return True
         # Offsets of this history say nothing of what an earlier one has told.
@@ -313,12 +341,15 @@
     def _store(self, record: TopicRecord) -> None:
         """Store a record in the place of the known one of its key."""
         known = self._values.pop(record.key, None)
-        self._offsets.pop(record.key, None)
         if record.value:
-            self._offsets[record.key] = record.offset
+            self._offsets.record_value(record.key, record.offset)
             self._values[record.key] = record.value
             self._dropped.pop(record.key, None)
-        elif known is not None:
+            if is_large(record.value):
+                self.values.add(record.key, record.value)
+            return
+        self._offsets.record_drop(record.key, record.offset)
+        if known is not None:
             self._remember_dropped(record.key, known)
 
     def _remember_dropped(self, key: str, value: bytes) -> None:
@@ -353,8 +384,7 @@
         for listener in self._listeners:
             listener(changes)
 
-    def _relay_newest(self) -> None:
-        """Pass all newest records on."""
-        newest = self.build_newest_records()
-        for relay in self._relays:
-            relay(newest)
+    def _tell_listeners(self) -> None:
+        """Tell the listeners that there is something new to tell others."""
+        for listener in self._records_listeners:
+            listener()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/stream.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/stream.py
@@ -65,7 +65,7 @@
 
     @property
     def expected_bytes(self) -> int:
-        """Return the bytes of the message that arrives, 0 before its length is known."""
+        """Return the bytes of the message that arrives, 0 while that is not known."""
         if len(self._received) < FRAME_LENGTH_BYTES:
             return 0
         length = int.from_bytes(self._received[:FRAME_LENGTH_BYTES], "big")
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -8,13 +8,8 @@
 
 from anyio import (
     TASK_STATUS_IGNORED,
-    BrokenResourceError,
-    ClosedResourceError,
-    EndOfStream,
     Event,
-    WouldBlock,
     connect_tcp,
-    create_memory_object_stream,
     create_task_group,
     create_tcp_listener,
     fail_after,
@@ -22,7 +17,6 @@
     sleep,
 )
 from anyio.abc import SocketStream, TaskStatus
-from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 from loguru import logger
 
 from cardamomtack.generated.relay import (
@@ -34,11 +28,11 @@
     ServerLimit,
     ServerLimits,
     Subscribe,
-    TopicRecords,
     VmHeartbeat,
 )
 from cardamomtack.helpers.clock import Clock
 from cardamomtack.replicas.members import MemberTable
+from cardamomtack.replicas.packing import BaseUnknownError, PackingError
 from cardamomtack.replicas.peer_clock import PeerClock
 from cardamomtack.replicas.replica_set import ReplicaSet
 from cardamomtack.replicas.topic import TopicGapError, TopicReplica
@@ -53,22 +47,25 @@
     DIAL_TIMEOUT_S,
     FRESHNESS_GAP_S,
     FRESHNESS_S,
-    OUTBOX_MAX,
     SILENCE_S_MAX,
     SLACK_S_MAX,
     SLACK_TRIAL_S,
     SUBSCRIBE_TIMEOUT_S,
 )
+from cardamomtack_daemon.replicas.outbox import Outbox
 
 NOTICES_KEPT = 200
 
-RELAY_ERRORS = (*STREAM_ERRORS, OverflowError, TopicGapError)
+RELAY_ERRORS = (
+    *STREAM_ERRORS,
+    BaseUnknownError,
+    OverflowError,
+    PackingError,
+    TopicGapError,
+)
 """What ends a stream; a number too large to compute with is one of them."""
 
 
-Outbox = MemoryObjectSendStream[bytes]
-
-
 class FleetListener(Protocol):
     """Takes what other VMs tell of servers and of themselves."""
 
@@ -134,7 +131,7 @@
         self._upstream: Outbox | None = None
         self._upstream_id = ""
         for replica in replicas:
-            replica.add_records_listener(self._relay_records)
+            replica.add_records_listener(self._mark_news)
             replica.add_confirmation_listener(self._record_confirmation)
 
     def broadcast_crash(self, notice: CrashNotice) -> None:
@@ -246,15 +243,15 @@
         if stream is None:
             self._mark_unreachable(upstream)
             return False
-        outbox, queue = create_memory_object_stream[bytes](OUTBOX_MAX)
+        outbox = Outbox(self._encode_freshness)
         messages = MessageStream(stream, RelayMessage)
         try:
             async with stream, create_task_group() as tasks:
-                tasks.start_soon(_async_write, queue, messages)
+                tasks.start_soon(outbox.async_write, messages)
                 logger.bind(upstream=upstream.vm_id).info("hearing from upstream VM")
                 self._upstream = outbox
                 self._upstream_id = upstream.vm_id
-                outbox.send_nowait(self._encode_subscription(True))
+                outbox.add_frame(self._encode_subscription(True))
                 self._send_notices(outbox)
                 await self._async_receive_messages(messages, outbox, upstream)
                 tasks.cancel_scope.cancel()
@@ -317,14 +314,14 @@
 
     async def _async_serve_subscriber(self, stream: SocketStream) -> None:
         """Serve one subscriber until its stream ends."""
-        outbox, queue = create_memory_object_stream[bytes](OUTBOX_MAX)
+        outbox = Outbox(self._encode_freshness)
         messages = MessageStream(stream, RelayMessage)
         try:
             async with stream, create_task_group() as tasks:
                 first = await messages.async_receive(SUBSCRIBE_TIMEOUT_S)
                 if first.subscribe is None:
                     return
-                tasks.start_soon(_async_write, queue, messages)
+                tasks.start_soon(outbox.async_write, messages)
                 self._welcome(first.subscribe, outbox)
                 source = first.subscribe.member.vm_id
                 while True:
@@ -338,13 +335,11 @@
     def _welcome(self, subscribe: Subscribe, outbox: Outbox) -> None:
         """Send a new subscriber what it does not know yet."""
         if subscribe.wants_members:
-            members = Members(self._members.list_members())
-            outbox.send_nowait(encode_frame(RelayMessage(members=members)))
-        for page in self._replicas.list_newer(subscribe):
-            outbox.send_nowait(encode_frame(RelayMessage(records=page)))
+            outbox.add(RelayMessage(members=Members(self._members.list_members())))
+        outbox.open_feeds(self._replicas.open_feeds(subscribe))
         self._send_notices(outbox)
         self._subscribers.add(outbox)
-        outbox.send_nowait(self._encode_freshness())
+        outbox.mark_heartbeat()
         self._apply_members([subscribe.member], outbox)
 
     def _handle_message(
@@ -359,6 +354,8 @@
         """
         if message.records is not None:
             self._replicas.apply_records(message.records, vm_id)
+        if message.packed is not None:
+            self._replicas.apply_packed(message.packed, vm_id)
         if message.members is not None:
             self._apply_members(message.members.members, source)
         if message.crash is not None:
@@ -394,11 +391,10 @@
     def _send_notices(self, outbox: Outbox) -> None:
         """Tell another VM of the crashes and limits that it may have missed."""
         for notice in self._notices.values():
-            outbox.send_nowait(encode_frame(RelayMessage(crash=notice)))
+            outbox.add(RelayMessage(crash=notice))
         limits = self._listener.list_limits()
         if limits:
-            message = RelayMessage(limits=ServerLimits(limits))
-            outbox.send_nowait(encode_frame(message))
+            outbox.add(RelayMessage(limits=ServerLimits(limits)))
 
     def _forward(self, message: RelayMessage, source: Outbox | None) -> None:
         """Send a message on all streams but the one on which it came."""
@@ -408,15 +404,12 @@
             outboxes.append(self._upstream)
         for outbox in outboxes:
             if outbox is not source:
-                self._send(outbox, frame)
+                outbox.add_frame(frame)
 
-    def _relay_records(self, records: TopicRecords) -> None:
-        """Pass records on to the subscribers."""
-        if not self._subscribers:
-            return
-        frame = encode_frame(RelayMessage(records=records))
-        for outbox in list(self._subscribers):
-            self._send(outbox, frame)
+    def _mark_news(self) -> None:
+        """Have the subscribers told what is new in a topic."""
+        for outbox in self._subscribers:
+            outbox.mark_news()
 
     def _record_confirmation(self) -> None:
         """Have the subscribers told that a topic was confirmed."""
@@ -435,18 +428,8 @@
             # Both topics are often confirmed together.
             await sleep(FRESHNESS_GAP_S)
             self._confirmed = Event()
-            if self._subscribers:
-                frame = self._encode_freshness()
-                for outbox in list(self._subscribers):
-                    self._send(outbox, frame)
-
-    def _send(self, outbox: Outbox, frame: bytes) -> None:
-        """Queue a frame; a subscriber that takes nothing is dropped."""
-        try:
-            outbox.send_nowait(frame)
-        except (WouldBlock, BrokenResourceError, ClosedResourceError):
-            self._subscribers.discard(outbox)
-            outbox.close()
+            for outbox in self._subscribers:
+                outbox.mark_heartbeat()
 
     def _encode_subscription(self, wants_members: bool) -> bytes:
         """Return the frame of the first message to another VM."""
@@ -456,18 +439,3 @@
     def _encode_freshness(self) -> bytes:
         """Return the frame of a heartbeat."""
         return encode_frame(RelayMessage(freshness=self._replicas.write_freshness()))
-
-
-async def _async_write(
-    queue: MemoryObjectReceiveStream[bytes], messages: MessageStream[RelayMessage]
-) -> None:
-    """Write the frames of an outbox to its stream.
-
-    Raises
-    ------
-    EndOfStream
-        When the outbox was closed, because it took nothing for too long.
-    """
-    async for frame in queue:
-        await messages.async_send_frame(frame)
-    raise EndOfStream
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/asgi.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/asgi.py
@@ -93,12 +93,12 @@
         ]
         start = {"type": "http.response.start", "status": reply.status}
         await send({**start, "headers": headers})
-        body = {"type": "http.response.body"}
+        rest = {"type": "http.response.body"}
         for begin in range(0, len(reply.body), PART_BYTES):
             part = reply.body[begin : begin + PART_BYTES]
-            await send({**body, "body": part, "more_body": True})
+            await send({**rest, "body": part, "more_body": True})
             await sleep(len(part) / reply.bytes_per_s)
-        await send(body)
+        await send(rest)
 
 
 async def async_serve_service(
--- a/tests/cardamomtack/replicas/test_replica_set.py
+++ b/tests/cardamomtack/replicas/test_replica_set.py
@@ -22,6 +22,12 @@
             replica.confirm(100.0, "vm-1")
         self.set = ReplicaSet(self.replicas, self.clock)
 
+    def count_told(self, subscribe):
+        """Return of how many topics a subscriber is told the newest records."""
+        messages = [feed.take() for feed in self.set.open_feeds(subscribe)]
+        pages = [message.records for message in messages if message is not None]
+        return sum(page.start == START_NEWEST for page in pages)
+
     def hear(self, freshness, vm_id="vm-1"):
         """Apply a heartbeat that was not late."""
         peer_clock = PeerClock(self.clock.read_boot_s())
@@ -59,14 +65,12 @@
 
     def test_subscriber_of_an_older_history_is_told_nothing(self):
         other = ReplicaSet([TopicReplica("a"), TopicReplica("b")], self.clock)
-        self.assertEqual(
-            len(self.set.list_newer(other.write_subscription(None, True))), 2
-        )
+        self.assertEqual(self.count_told(other.write_subscription(None, True)), 2)
         own = self.set.write_subscription(None, True)
-        self.assertEqual(self.set.list_newer(own), [])
+        self.assertEqual(self.count_told(own), 0)
         for position in own.positions:
             position.history, position.end = 1, 9
-        self.assertEqual(len(self.set.list_newer(own)), 2)
+        self.assertEqual(self.count_told(own), 2)
 
 
 if __name__ == "__main__":
--- a/tests/cardamomtack/replicas/test_topic.py
+++ b/tests/cardamomtack/replicas/test_topic.py
@@ -8,7 +8,9 @@
 from hypothesis import strategies as st
 from msgspec import structs
 
-from cardamomtack.generated.relay import TopicRecord, TopicRecords
+from cardamomtack.generated.relay import TopicPosition, TopicRecord, TopicRecords
+from cardamomtack.replicas.feed import TopicFeed
+from cardamomtack.replicas.packing import PagePacker
 from cardamomtack.replicas.topic import START_NEWEST, TopicGapError, TopicReplica
 
 KEYS = ("a", "b", "c")
@@ -51,6 +53,15 @@
     return structs.replace(page, history=history)
 
 
+def follow(replica):
+    """Return the pages that a subscriber is told from now on."""
+    position = TopicPosition(replica.topic, replica.end, replica.history)
+    feed = TopicFeed(replica, PagePacker(), position)
+    told = []
+    replica.add_records_listener(lambda: told.append(feed.take().records))
+    return told
+
+
 class DigitOrder:
     """Records are numbers that grow."""
 
@@ -105,8 +116,7 @@
         self.assertEqual(read_state(self.replica), {"a": b"3", "c": b"4"})
 
     def test_relays_get_each_record_once(self):
-        relayed = []
-        self.replica.add_records_listener(relayed.append)
+        relayed = follow(self.replica)
         self.replica.apply_records(take_newest(LOG, 2))
         self.replica.apply_records(take_range(LOG, 2, 4))
         self.replica.apply_records(take_range(LOG, 2, 5))
@@ -200,8 +210,7 @@
         log = write_log([("a", b"1"), ("a", b"2")])
         started = TopicReplica("t", DigitOrder(keeps_absent=True))
         started.apply_records(in_history(2, take_newest(log[:1], 1)))
-        relayed = []
-        started.add_records_listener(relayed.append)
+        relayed = follow(started)
         started.apply_records(in_history(1, take_newest(log, 2)))
         self.assertEqual(read_state(started), {"a": b"2"})
         self.assertEqual(started.position, (2, 1))
--- a/tests/cardamomtack_daemon/replicas/test_large_configuration.py
+++ b/tests/cardamomtack_daemon/replicas/test_large_configuration.py
@@ -9,7 +9,7 @@
 
 from cardamomtack.generated.relay import Member
 from cardamomtack_standins.fleet import find_free_ports
-from tests.cardamomtack_daemon.forwarding.memory import ROUTES, make_configuration
+from tests.cardamomtack_daemon.forwarding.memory import ROUTES
 from tests.cardamomtack_daemon.replicas.links import SmallLink
 from tests.cardamomtack_daemon.replicas.test_fleet import (
     APPLY_S,
