Take a message that arrives for long for no silence

Cause: a stream was dropped when no whole message had come for 1.1 s.

Why this fixes it: silence is counted from the last byte that arrived.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/stream.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/stream.py
@@ -78,19 +78,24 @@
     async def async_receive(self, timeout_s: float | None) -> MessageT:
         """Receive a message.
 
+        Parameters
+        ----------
+        timeout_s : float or None
+            Longest time without a byte, in seconds; None waits for ever. A message may
+            take longer than that while it arrives.
+
         Raises
         ------
         TimeoutError
-            When nothing arrives in time, in seconds; None waits for ever.
+            When nothing arrives for so long.
         PeerProtocolError
             When the frame is too long or not a message.
         """
         frame = self._take_frame()
-        if frame is None:
+        while frame is None:
             with fail_after(timeout_s):
-                while frame is None:
-                    self._received += await self._stream.receive()
-                    frame = self._take_frame()
+                self._received += await self._stream.receive()
+            frame = self._take_frame()
         try:
             return self._decoder.decode(frame)
         except DECODE_ERRORS as error:
