--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -172,6 +172,11 @@
             self._can_write.set_result(None)
         self._can_write = None
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return how many bytes of an answer have arrived and were not taken."""
+        return self._buffered_bytes
+
     def is_idle(self) -> bool:
         """Return whether the connection is open and nothing has arrived on it."""
         return self.is_reusable and not self._is_cut
