Have the VMs with the largest links tell the others

Cause: readers and relays were the first VMs by name.

Why this fixes it: a VM says how large its link is, and all VMs rank by it, then by name.

Evidence: test_vms_with_small_links_tell_all_others and test_reader_of_a_zone_of_small_links_reads_for_all fail without the change in members.py and pass with it.

--- a/packages/cardamomtack/src/cardamomtack/replicas/members.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/members.py
@@ -4,8 +4,8 @@
 pay for every change 115 times; and bytes between availability zones are dear. Two VMs
 read, whatever the size of the fleet. In each zone a few VMs hear from them and the
 others of the zone from those few, so that the way to another zone is paid once for
-many. Nobody is set aside: every VM ranks the VMs it knows alike, and takes over as soon
-as those before it are silent.
+many. Nobody is set aside: every VM ranks the VMs it knows alike, those with the largest
+links first, and takes over as soon as those before it are silent.
 """
 
 from __future__ import annotations
@@ -15,7 +15,12 @@
 from random import Random
 
 from cardamomtack.generated.relay import Member
-from cardamomtack.helpers.decoding import PORT_MAX, TEXT_LENGTH_MAX, is_token
+from cardamomtack.helpers.decoding import (
+    PORT_MAX,
+    TEXT_LENGTH_MAX,
+    is_number,
+    is_token,
+)
 from cardamomtack.replicas.const import (
     DEAD_S_MAX,
     DEAD_S_MIN,
@@ -103,7 +108,8 @@
         """
         zones = self._rank_zones(now_s)
         wanted = min(READERS, sum(len(zone) for zone in zones.values()))
-        ranked = [zones[name] for name in sorted(zones)]
+        names = sorted(zones, key=lambda name: (-zones[name][0].link_mbps, name))
+        ranked = [zones[name] for name in names]
         readers: list[Member] = []
         turn = 0
         while len(readers) < wanted:
@@ -155,7 +161,7 @@
         known = self.list_members()
         alive = [one for one in known if self.is_reachable(one.vm_id, now_s)] or known
         zones: dict[str, list[Member]] = {}
-        for member in sorted(alive, key=lambda one: one.vm_id):
+        for member in sorted(alive, key=lambda one: (-one.link_mbps, one.vm_id)):
             zones.setdefault(member.availability_zone, []).append(member)
         return zones
 
@@ -168,6 +174,7 @@
         return False
     return (
         0 < member.port <= PORT_MAX
+        and is_number(member.link_mbps)
         and is_token(member.vm_id)
         and len(member.availability_zone) <= TEXT_LENGTH_MAX
     )
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -186,6 +186,7 @@
             settings.availability_zone,
             settings.address,
             settings.relay_port,
+            link_mbps=settings.link_mbps,
         )
         configuration = TopicReplica(TOPIC_CONFIGURATION, sources.configuration_order)
         configuration.add_listener(
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/settings.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/settings.py
@@ -30,6 +30,8 @@
         request of a connection is a first send.
     grace_s : float
         Time between SIGTERM and SIGKILL, in seconds.
+    link_mbps : float
+        Bandwidth of the VM's link, in Mbit/s; 0 when it is not known.
     """
 
     vm_id: str
@@ -45,3 +47,4 @@
     body_memory_bytes: int
     resends_use_new_connections: bool
     grace_s: float
+    link_mbps: float = 0.0
--- a/tests/cardamomtack/replicas/test_members.py
+++ b/tests/cardamomtack/replicas/test_members.py
@@ -17,9 +17,11 @@
     )
 
 
-def make_tables(count, zones=4):
+def make_tables(count, zones=4, links_mbps=None):
     """Return the tables of VMs that all know one another."""
     members = [make_member(one, f"zone-{one % zones}") for one in range(count)]
+    for member, link_mbps in zip(members, links_mbps or [], strict=False):
+        member.link_mbps = link_mbps
     tables = []
     for own in members:
         table = MemberTable(own)
@@ -46,6 +48,24 @@
                 zones = {one.availability_zone for one in readers}
                 self.assertEqual(len(zones), wanted)
 
+    def test_vms_with_small_links_tell_all_others(self):
+        # Two VMs of each zone have large links, and they are not the first by name.
+        links_mbps = [100.0 if 80 <= number < 86 else 5.0 for number in range(94)]
+        tables = make_tables(94, 3, links_mbps)
+        told = Counter()
+        for table in tables:
+            upstream = table.choose_upstream(0.0)
+            if upstream is not None:
+                told[upstream.vm_id] += 1
+        large = {f"vm-{number:03}" for number in range(80, 86)}
+        self.assertEqual(set(told), large)
+        self.assertLessEqual(max(told.values()), 24)
+
+    def test_reader_of_a_zone_of_small_links_reads_for_all(self):
+        links_mbps = [100.0 if number % 3 == 2 else 5.0 for number in range(13)]
+        readers = make_tables(13, 3, links_mbps)[0].choose_readers(0.0)
+        self.assertEqual(readers[0].link_mbps, 100.0)
+
     def test_everybody_hears_from_its_zone_and_few_from_another(self):
         tables = {table.own.vm_id: table for table in make_tables(121)}
         readers = next(iter(tables.values())).choose_readers(0.0)
--- a/tests/cardamomtack_daemon/replicas/test_odd_messages.py
+++ b/tests/cardamomtack_daemon/replicas/test_odd_messages.py
@@ -32,6 +32,8 @@
     Member("vm-4", "1", "zone-0", "name.example", 7000),
     Member("vm 5\r\n", "1", "zone-0", "127.0.0.1", 7000),
     Member("", "1", "zone-0", "127.0.0.1", 7000),
+    Member("vm-6", "1", "zone-0", "127.0.0.1", 7000, link_mbps=float("nan")),
+    Member("vm-7", "1", "zone-0", "127.0.0.1", 7000, link_mbps=1e308),
 ]
 
 
