Read only those routes of a version that the one before did not have

Cause: every VM decoded and checked all routes of each version, one by one, in the loop that serves callers.

Why this fixes it: a route whose bytes are those of a route that was read before, on the same host and among the same services, and in which nothing was wrong, is that route. A part that can't be read still takes the whole version out.

--- a/tests/cardamomtack_platform/test_translation.py
+++ b/tests/cardamomtack_platform/test_translation.py
@@ -12,7 +12,7 @@
 from cardamomtack.placing.server import LoadReport
 from cardamomtack.routing.coordinator import ConfigurationRecordError
 from cardamomtack.routing.policy import Repeatability
-from cardamomtack_platform.configuration import parse_configuration
+from cardamomtack_platform.configuration import KnownRoutes, parse_configuration
 from cardamomtack_platform.entries import parse_entry
 from cardamomtack_platform.headers import parse_load, parse_rate_limit
 from cardamomtack_platform.settings import PlatformSettings, parse_settings
@@ -145,6 +145,34 @@
         self.assertEqual(configuration.services["desk"].health_path, "/healthz")
         self.assertEqual(configuration.limits.body_bytes_max, 1000)
 
+    def test_change_of_one_route_has_all_read_again(self):
+        known = KnownRoutes()
+        paths = [{**PATH, "pathPrefix": f"/{number}/"} for number in range(50)]
+        hosts = [{"host": "one.example", "paths": paths}]
+        record = {**CONFIGURATION, "vhosts": hosts}
+        before = parse_configuration(encode(record), known).routes
+        paths[7] = {**paths[7], "timeoutS": 9.0}
+        paths.insert(3, {**PATH, "pathPrefix": "/new/"})
+        after = parse_configuration(encode(record), known).routes
+        kept = {id(route) for route in before} & {id(route) for route in after}
+        self.assertEqual((len(after), len(kept)), (51, 49))
+        self.assertEqual(after, parse_configuration(encode(record)).routes)
+
+    def test_route_of_before_is_taken_whatever_else_has_changed(self):
+        known = KnownRoutes()
+        parse_configuration(encode(CONFIGURATION), known)
+        services = [{**CONFIGURATION["services"][0], "name": "other"}]
+        for change in (
+            {"services": services},
+            {"vhosts": [{"host": "two.example", "paths": [PATH]}]},
+            {"vhosts": [{"host": "one.example", "paths": [PATH, PATH]}]},
+        ):
+            with self.subTest(change):
+                data = encode({**CONFIGURATION, **change})
+                self.assertEqual(
+                    parse_configuration(data, known), parse_configuration(data)
+                )
+
     def test_single_service(self):
         record = copy.deepcopy(CONFIGURATION)
         path = record["vhosts"][0]["paths"][0]
