Have a VM that hears from no other look again for others

What callers saw: nothing that is known; a VM reads the store for itself for ever, which is paid, and hears of crashes and limits from nobody.

Cause: a VM that joins before all others, or with one that ranks below it, knows nobody above it. Those that join later know it, but only contact the VMs above themselves.

Why this fixes it: a VM without an upstream reads the list of VMs again, after 1 s, then 2 and so on up to once a minute, and passes on whom it learns of. In a settled fleet that is one VM.

Evidence: test_vms_that_joined_first_hear_of_no_other failed before and passes.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -206,13 +206,17 @@
             self,
             clock,
         )
+        self._replicas = [configuration, servers]
+        self._relay = TopicRelay(self._members, self._replicas, self, clock, random)
         self._membership = MembershipRegistration(
-            self._members, sources.members, random
+            self._members,
+            sources.members,
+            self._relay.apply_members,
+            self._relay.is_root,
+            random,
         )
-        self._replicas = [configuration, servers]
         for replica in self._replicas:
             replica.add_history_listener(self._membership.mark_restored)
-        self._relay = TopicRelay(self._members, self._replicas, self, clock, random)
         self._readers = [
             TopicReader(
                 replica, source, self._is_reader, self._record_answer, clock, random
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/registration.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/registration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 
 from anyio import Event, move_on_after, sleep
@@ -22,6 +23,9 @@
 RESTORE_SPREAD_S = 2.0
 """Over how long the VMs look for their records after a restore of the store."""
 
+ROOT_PAUSE_S_MAX = 60.0
+ROOT_PAUSE_S_MIN = 1.0
+
 
 class MembershipRegistration:
     """Writes the record of this VM, then reads those of all.
@@ -35,6 +39,10 @@
         The VMs.
     directory : MemberDirectory
         Their records at the store.
+    apply_members : callable
+        Applies news of VMs, and tells the others of them.
+    is_root : callable
+        Returns whether this VM hears from no other.
     random : Random
         Spreads the attempts of the VMs after an outage.
 
@@ -45,8 +53,10 @@
     """
 
     __slots__ = (
+        "_apply_members",
         "_directory",
         "_has_left",
+        "_is_root",
         "_members",
         "_random",
         "_restored",
@@ -54,8 +64,15 @@
     )
 
     def __init__(
-        self, members: MemberTable, directory: MemberDirectory, random: Random
+        self,
+        members: MemberTable,
+        directory: MemberDirectory,
+        apply_members: Callable[[list[Member]], None],
+        is_root: Callable[[], bool],
+        random: Random,
     ) -> None:
+        self._apply_members = apply_members
+        self._is_root = is_root
         self._directory = directory
         self._has_left = False
         self._members = members
@@ -68,11 +85,23 @@
         self._restored.set()
 
     async def async_keep_joined(self) -> None:
-        """Join again after each restore of the store, until cancelled."""
+        """Join again after each restore of the store, until cancelled.
+
+        A VM that hears from no other looks again from time to time: it may have joined
+        before those that should be above it.
+        """
+        pause_s = ROOT_PAUSE_S_MIN
         while True:
-            await self._restored.wait()
-            await sleep(self._random.uniform(0.0, RESTORE_SPREAD_S))
-            self._restored = Event()
+            with move_on_after(pause_s):
+                await self._restored.wait()
+            if self._restored.is_set():
+                await sleep(self._random.uniform(0.0, RESTORE_SPREAD_S))
+                self._restored = Event()
+            elif self._is_root():
+                pause_s = min(ROOT_PAUSE_S_MAX, 2.0 * pause_s)
+            else:
+                pause_s = ROOT_PAUSE_S_MIN
+                continue
             await self._async_join(is_written=True)
 
     async def async_join(self) -> None:
@@ -123,8 +152,10 @@
 
     def _take(self, records: list[bytes]) -> None:
         """Apply the records of other VMs."""
+        members = []
         for record in records:
             try:
-                self._members.update_member(msgpack.decode(record, type=Member))
+                members.append(msgpack.decode(record, type=Member))
             except DECODE_ERRORS:
                 logger.warning("the record of a VM can't be used")
+        self._apply_members(members)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -159,6 +159,15 @@
         )
         self._forward(RelayMessage(members=Members([leaving])), None)
 
+    def apply_members(self, members: list[Member]) -> None:
+        """Apply news of VMs and tell the others what is new."""
+        self._apply_members(members, None)
+
+    def is_root(self) -> bool:
+        """Return whether this VM hears from no other."""
+        now_s = self._clock.read_monotonic_s()
+        return self._members.choose_upstream(now_s) is None
+
     async def async_serve(
         self,
         address: str,
--- a/tests/cardamomtack_daemon/replicas/test_fleet.py
+++ b/tests/cardamomtack_daemon/replicas/test_fleet.py
@@ -67,6 +67,11 @@
         upstreams = [vm.daemon._members.choose_upstream(now_s) for vm in self.vms]
         return [upstream and upstream.vm_id for upstream in upstreams]
 
+    def has_one_tree(self):
+        """Return whether all VMs know all, and one of them hears from no other."""
+        counts = {vm.daemon._members.count for vm in self.vms}
+        return counts == {len(self.vms)} and self.list_upstreams().count(None) == 1
+
     async def async_run(self, number):
         """Run one VM until it is killed."""
         with self.scopes[number]:
@@ -143,6 +148,23 @@
 
         self.play(scenario, count=9)
 
+    def test_vms_that_joined_first_hear_of_no_other(self):
+        async def run():
+            fleet = RelayFleet(6)
+            fleet.vms[0].publish(make_configuration())
+            async with anyio.create_task_group() as tasks:
+                for number in (5, 4):
+                    tasks.start_soon(fleet.async_run, number)
+                    await fleet.vms[number].async_wait_ready()
+                for number in range(4):
+                    tasks.start_soon(fleet.async_run, number)
+                with anyio.fail_after(SETTLED_S_MAX):
+                    while not fleet.has_one_tree():
+                        await anyio.sleep(0.1)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run, backend_options={"use_uvloop": True})
+
     def test_version_reaches_all(self):
         async def scenario(fleet):
             fleet.publish(2)
