--- a/packages/cardamomtack_standins/src/cardamomtack_standins/bench/slopes.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/bench/slopes.py
@@ -28,8 +28,16 @@
     LogRecord,
     PublishRecord,
 )
+from cardamomtack.generated.relay import (
+    Member,
+    PackedRecords,
+    TopicRecord,
+    TopicRecords,
+)
 from cardamomtack.generated.services import VirtualMachine
 from cardamomtack.helpers.clock import SystemClock
+from cardamomtack.replicas.replica_set import ReplicaSet
+from cardamomtack.replicas.topic import START_NEWEST, TopicReplica
 from cardamomtack.util.digests import rank_by_rendezvous_hash
 from cardamomtack_standins.plan import (
     KindPlan,
@@ -38,7 +46,10 @@
     write_document,
 )
 
+CHANGES = 40
 DECISIONS = 20_000
+OWN = Member("vm", "1", "zone", "10.0.0.1", 7000)
+TOPIC = "configuration"
 US_PER_S = 1e6
 WARM_UP = 200
 
@@ -280,8 +291,82 @@
     return time_each(lambda: counter.count_request("service", names[-1], "ok"), 100_000)
 
 
+class RouteChange:
+    """A VM, one that hears from it, and a configuration of which one route changes.
+
+    Parameters
+    ----------
+    routes : int
+        Routes of the configuration.
+    """
+
+    __slots__ = ("_heard", "_known", "_position", "_versions")
+
+    def __init__(self, routes: int) -> None:
+        self._versions = [describe_routes(routes, changed) for changed in (0, 1)]
+        self._known = ReplicaSet([TopicReplica(TOPIC)], SystemClock())
+        self._heard = ReplicaSet([TopicReplica(TOPIC)], SystemClock())
+        self._position = 0
+        self._publish()
+        self.tell()
+
+    def _publish(self) -> None:
+        """Have the VM learn of the next version."""
+        value = self._versions[self._position % 2]
+        record = TopicRecord(self._position, TOPIC, value)
+        self._position += 1
+        page = TopicRecords(TOPIC, START_NEWEST, self._position, [record])
+        self._known.apply_records(page, "store")
+
+    def pack(self) -> PackedRecords:
+        """Return what the other VM is sent of the next version."""
+        subscribe = self._heard.write_subscription(OWN, False)
+        self._publish()
+        (feed,) = self._known.open_feeds(subscribe)
+        message = feed.take()
+        if message is None or message.packed is None:
+            raise AssertionError("a large value is not packed")
+        return message.packed
+
+    def tell(self) -> None:
+        """Have the other VM learn of the next version."""
+        self._heard.apply_packed(self.pack(), "vm")
+
+
+def describe_routes(routes: int, changed: int) -> bytes:
+    """Return a configuration of many routes, the first of them in two forms."""
+    random = Random(routes)
+    paths = [
+        {
+            "name": f"r-{number}",
+            "pathPrefix": f"/{random.getrandbits(32):08x}/",
+            "kind": "idempotent",
+            "timeoutS": 4.0 + (changed if number == 0 else 0),
+            "sloS": 1.0,
+            "priority": 2,
+            "attempts": 3,
+            "service": f"s-{number % 7}",
+        }
+        for number in range(routes)
+    ]
+    return json.encode({"version": f"{changed:08x}", "paths": paths})
+
+
+def time_change(routes: int) -> float:
+    """Return the microseconds in which a change is packed and unpacked."""
+    return time_each(RouteChange(routes).tell, CHANGES)
+
+
+def weigh_change(routes: int) -> float:
+    """Return the bytes that a VM is sent of a change of one route."""
+    change = RouteChange(routes)
+    change.tell()
+    return float(len(change.pack().body))
+
+
 def measure_slopes() -> list[Slope]:
     """Measure all slopes."""
+    routes = [100, 400, 1400, 3000, 12_000]
     servers = [1000, 8000, 23_000]
     services = [50, 200, 800]
     return [
@@ -317,6 +402,14 @@
         ),
         fit_slope("heartbeats_by_peers", "us", [16, 100, 300], time_heartbeats),
         fit_slope("ranking_by_members", "us", [17, 100, 300], time_ranking),
+        fit_slope("change_by_routes", "us", routes, time_change),
+        fit_slope("change_bytes_by_routes", "bytes", routes, weigh_change),
+        fit_slope(
+            "whole_bytes_by_routes",
+            "bytes",
+            routes,
+            lambda size: float(len(describe_routes(size, 0))),
+        ),
     ]
 
 
