--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -298,6 +298,8 @@
 
     Attributes
     ----------
+    answered_at_s : float
+        Monotonic time at which any of its servers last answered this VM, in seconds.
     reports_load : bool or None
         Whether its servers report their load; None before any has answered.
     slowdown_estimates : SlowdownEstimates
@@ -313,6 +315,7 @@
         "_failure_share_at_s",
         "_slowness",
         "_split",
+        "answered_at_s",
         "members",
         "name",
         "reports_load",
@@ -327,6 +330,7 @@
         self._failure_share_at_s = -inf
         self._slowness = SLOWNESS_USUAL
         self._split: tuple[str, list[ServerView], list[ServerView]] | None = None
+        self.answered_at_s = -inf
         self.name = name
         self.members: list[ServerView] = []
         self.reports_load: bool | None = None
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -321,11 +321,12 @@
             objective_left_ms=int((call.objective_s - call.arrived_s) * MS_PER_S),
             asked=call.probes,
             waited_ms=int(call.waited_s * MS_PER_S),
-            usable=0
-            if is_first_send_success
-            else self._placer.count_usable(call.service),
             sends=call.sends,
         )
+        if not is_first_send_success:
+            decision.usable = self._placer.count_usable(call.service)
+            age_s = self._placer.compute_answer_age_s(call.service)
+            decision.answer_age_ms = int(age_s * MS_PER_S) if age_s < inf else -1
         self._decisions.record_decision(decision, is_first_send_success)
 
     async def _async_forward(self, call: ForwardedCall) -> tuple[Handled, str]:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -330,6 +330,11 @@
         """Return the work of a call on an idle server, in seconds."""
         return self.estimates.estimate_work_s(call.route.name, call.route.objective_s)
 
+    def compute_answer_age_s(self, service: str) -> float:
+        """Return the seconds since a server of a service last answered this VM."""
+        now_s = self._clock.read_monotonic_s()
+        return now_s - self._registry.find_service(service).answered_at_s
+
     def count_usable(self, service: str) -> int:
         """Return how many servers of a service might get work."""
         now_s = self._clock.read_monotonic_s()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
@@ -263,6 +263,7 @@
         answer = await connection.async_receive(CHECK_BYTES_MAX)
         if answer is None:
             return False
+        service.answered_at_s = self._clock.read_monotonic_s()
         if self._is_another(server, answer):
             server.record_unreachable(self._clock.read_monotonic_s())
             return False
