Reach servers through other VMs where the own way is cut

Cause: the own connections were taken for the only way to a server. What a VM concluded in a cut (servers that are silent, refuse or have crashed) was taken for the servers' state.

Why this fixes it: a VM tells by service and availability zone when several servers refuse its connections or are silent and none answers; then it opens connections to them through another VM, which passes the bytes on unread. All that decides on a request stays with the VM that took it: the deadline, at most once, "not run", budgets, limits, signatures. The end of a connection is told apart from its loss on both hops. A server counts as down only when other VMs are refused, too, so that a cut VM reports no crash. What was learnt in a cut is dropped with it, and connections go back to the direct way by and by. Nothing is sent while nobody is cut off.

--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -275,6 +275,13 @@
         self._failed_in_row = max(self._failed_in_row + 1, EJECTION_FAILURES)
         self._eject(now_s)
 
+    def forget_failures(self) -> None:
+        """Forget failures that say nothing of the server; an ejection ends."""
+        self._failed_in_row = 0
+        self._failure_share = 0.0
+        self._probe_timeouts = 0
+        self.ejected_until_s = 0.0
+
     def estimate_failure_share(self, now_s: float) -> float:
         """Return the recent share of failures, fading with time."""
         age_s = max(0.0, now_s - self._failure_at_s)
--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/reach/__init__.py
@@ -0,0 +1,1 @@
+"""How servers are reached: over own connections, or through another VM."""
--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/reach/helpers.py
@@ -0,0 +1,106 @@
+"""Which VMs are asked to reach servers for this one."""
+
+from __future__ import annotations
+
+from random import Random
+
+from cardamomtack.generated.relay import Member
+from cardamomtack.reach.const import (
+    HELPER_PAUSE_S_MAX,
+    HELPER_PAUSE_S_MIN,
+    HELPERS_IN_VAIN_MAX,
+    IN_VAIN_S,
+)
+from cardamomtack.replicas.members import MemberTable
+
+CHOICES = 2
+
+
+class _Helper:
+    """What is known of one VM as a helper."""
+
+    __slots__ = ("connections", "pause_s", "paused_until_s")
+
+    def __init__(self) -> None:
+        self.connections = 0
+        self.pause_s = 0.0
+        self.paused_until_s = 0.0
+
+
+class HelperTable:
+    """The other VMs as helpers.
+
+    Parameters
+    ----------
+    members : MemberTable
+        The VMs.
+    random : Random
+        Spreads the VMs that need help over the others.
+    """
+
+    __slots__ = ("_helpers", "_in_vain", "_in_vain_until_s", "_members", "_random")
+
+    def __init__(self, members: MemberTable, random: Random) -> None:
+        self._helpers: dict[str, _Helper] = {}
+        self._in_vain = 0
+        self._in_vain_until_s = 0.0
+        self._members = members
+        self._random = random
+
+    def choose(self, excluded: set[str], now_s: float) -> Member | None:
+        """Return a VM to ask, or None when there is none that could help now.
+
+        Of two VMs it is the one that does less for this VM beside what its link takes.
+        """
+        if now_s < self._in_vain_until_s:
+            return None
+        able = [
+            member
+            for member in self._members.list_members()[1:]
+            if member.tunnel_port
+            and member.vm_id not in excluded
+            and self._find(member.vm_id).paused_until_s <= now_s
+        ]
+        if not able:
+            return None
+        drawn = self._random.sample(able, min(CHOICES, len(able)))
+        return min(drawn, key=self._compute_share)
+
+    def has_any(self) -> bool:
+        """Return whether there is another VM at all."""
+        return any(one.tunnel_port for one in self._members.list_members()[1:])
+
+    def record_help(self, vm_id: str) -> None:
+        """Record that a VM has reached a server, or knows of one that it doesn't."""
+        self._in_vain = 0
+        self._find(vm_id).pause_s = 0.0
+
+    def record_failure(self, vm_id: str, now_s: float) -> None:
+        """Record that a VM can't help, for longer with each time in a row."""
+        helper = self._find(vm_id)
+        helper.pause_s = min(
+            HELPER_PAUSE_S_MAX, max(HELPER_PAUSE_S_MIN, 2.0 * helper.pause_s)
+        )
+        helper.paused_until_s = now_s + helper.pause_s
+        self._in_vain += 1
+        if self._in_vain >= min(HELPERS_IN_VAIN_MAX, self._members.count - 1):
+            # Others are cut off, too, and asking them holds callers up.
+            self._in_vain = 0
+            self._in_vain_until_s = now_s + IN_VAIN_S
+
+    def record_opened(self, vm_id: str) -> None:
+        """Count a connection through a VM."""
+        self._find(vm_id).connections += 1
+
+    def record_closed(self, vm_id: str) -> None:
+        """Count a connection through a VM that has ended."""
+        self._find(vm_id).connections -= 1
+
+    def _compute_share(self, member: Member) -> float:
+        """Return the connections through a VM for each Mbit/s of its link."""
+        connections = self._find(member.vm_id).connections + 1
+        return connections / max(1.0, member.link_mbps)
+
+    def _find(self, vm_id: str) -> _Helper:
+        """Return what is known of a VM."""
+        return self._helpers.setdefault(vm_id, _Helper())
--- a/packages/cardamomtack/src/cardamomtack/replicas/members.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/members.py
@@ -175,6 +175,7 @@
     return (
         0 < member.port <= PORT_MAX
         and is_number(member.link_mbps)
+        and 0 <= member.tunnel_port <= PORT_MAX
         and is_token(member.vm_id)
         and len(member.availability_zone) <= TEXT_LENGTH_MAX
     )
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -94,7 +94,13 @@
         self.started_s = 0.0
         self.server = probed.server
         load = self.server.report.describe() if self.server.report is not None else ""
-        self.record = SendRecord(self.server.vm_id, SendOutcome.BROKEN.value, 0, load)
+        self.record = SendRecord(
+            self.server.vm_id,
+            SendOutcome.BROKEN.value,
+            0,
+            load,
+            via=self.connection.helper_id,
+        )
 
     async def async_exchange(self, timeout_s: float) -> SendResult | None:
         """Send the request and return what became of it, or None when it takes longer.
@@ -291,6 +297,7 @@
 
     def judge(self, send: ServerSend, answer: HttpAnswer) -> SendResult:
         """Return what an answer says of its request and its server."""
+        self._prober.record_answer(send.server, send.connection)
         result = self._judge(send.call, send.server, answer)
         if answer.status != STATUS_MISDIRECTED:
             rate = self._limits.record_answer(
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -27,6 +27,8 @@
 from cardamomtack.placing.chooser import PlacementChooser
 from cardamomtack.placing.server import ServerView
 from cardamomtack.quarantine.tracker import CrashTracker
+from cardamomtack.reach.helpers import HelperTable
+from cardamomtack.reach.ways import DirectWays
 from cardamomtack.replicas.const import (
     STALE_AFTER_S,
     TOPIC_CONFIGURATION,
@@ -66,6 +68,9 @@
 from cardamomtack_daemon.replicas.registration import MembershipRegistration
 from cardamomtack_daemon.replicas.relay import TopicRelay
 from cardamomtack_daemon.replicas.source import MemberDirectory, TopicSource
+from cardamomtack_daemon.tunnels.changes import WayChanges
+from cardamomtack_daemon.tunnels.dialer import ServerDialer
+from cardamomtack_daemon.tunnels.server import TunnelServer
 
 BODY_BYTES_MAX = 67_108_864
 GC_THRESHOLD = 20_000
@@ -123,6 +128,7 @@
         "_callers",
         "_clock",
         "_crash_tracker",
+        "_dialer",
         "_forwarder",
         "_is_leaving",
         "_limits",
@@ -140,6 +146,7 @@
         "_sender",
         "_settings",
         "_stopped",
+        "_tunnels",
         "_writer",
         "memory",
     )
@@ -187,6 +194,7 @@
             settings.address,
             settings.relay_port,
             link_mbps=settings.link_mbps,
+            tunnel_port=settings.tunnel_port,
         )
         configuration = TopicReplica(TOPIC_CONFIGURATION, sources.configuration_order)
         configuration.add_listener(
@@ -233,7 +241,20 @@
         clock = self._clock
         self.memory = BodyMemory(settings.body_memory_bytes)
         chooser = PlacementChooser(random, settings.availability_zone)
-        self._prober = ServerProber(self._pool, names, self._limits, clock)
+        ways = DirectWays(self._registry, WayChanges(self._registry, self._pool), clock)
+        self._tunnels = TunnelServer(self._registry, ways)
+        self._dialer = ServerDialer(
+            self._pool.async_open,
+            ways,
+            HelperTable(self._members, random),
+            self._registry,
+            clock,
+            random,
+        )
+        self._pool.dialer = self._dialer
+        self._prober = ServerProber(
+            self._pool, names, self._limits, self._dialer, ways, clock
+        )
         placer = Placer(self._registry, chooser, self._prober, self._pool, clock)
         self._sender = RequestSender(
             self._pool,
@@ -328,6 +349,11 @@
         await tasks.start(
             self._relay.async_serve, settings.address, settings.relay_port
         )
+        if settings.tunnel_port:
+            await tasks.start(
+                self._tunnels.async_serve, settings.address, settings.tunnel_port
+            )
+        tasks.start_soon(self._dialer.async_try_directly)
         tasks.start_soon(self._async_join)
         tasks.start_soon(self._relay.async_subscribe)
         tasks.start_soon(self._relay.async_ask_others)
@@ -369,10 +395,11 @@
         async with create_task_group() as tasks:
             # The store may not answer, and that must not take time from requests.
             tasks.start_soon(self._membership.async_leave)
+            tasks.start_soon(self._tunnels.async_leave)
             with move_on_after(left_s):
                 await sleep(min(BALANCER_NOTICE_S, BALANCER_NOTICE_SHARE_MAX * left_s))
                 self._forwarder.is_refusing = True
-                while self._forwarder.in_flight:
+                while self._forwarder.in_flight or self._tunnels.count:
                     await sleep(DRAIN_CHECK_S)
             tasks.cancel_scope.cancel()
         # What is still running gets an answer rather than a broken connection.
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -203,8 +203,9 @@
         """Return a server that is not probed with a connection, or None."""
         try:
             connection = await self._pool.async_acquire(server, CONNECTION_IDLE_S_MAX)
-        except ServerUnreachableError:
-            server.record_unreachable(self._clock.read_monotonic_s())
+        except ServerUnreachableError as error:
+            if not error.is_own_way:
+                server.record_unreachable(self._clock.read_monotonic_s())
             return None
         if not server.is_removed:
             return ProbedServer(server, connection)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
@@ -11,6 +11,7 @@
 from cardamomtack.helpers.decoding import parse_count
 from cardamomtack.measuring.pacer import ProbeLimiter
 from cardamomtack.placing.server import ServerView, ServiceView
+from cardamomtack.reach.ways import DirectWays
 from cardamomtack_daemon.forwarding.const import (
     LIFE_TIMEOUT_S,
     LOAD_PROBE_TIMEOUT_S,
@@ -26,6 +27,7 @@
     ConnectionPool,
     ServerUnreachableError,
 )
+from cardamomtack_daemon.tunnels.dialer import ServerDialer
 
 CHECK_BYTES_MAX = 65536
 STATUS_OK = 200
@@ -92,6 +94,10 @@
         Names of header fields.
     limits : SharedLimits
         Hears the limits of servers.
+    dialer : ServerDialer
+        Opens connections to servers.
+    ways : DirectWays
+        Learns whether servers answer on connections of this VM's own.
     clock : Clock
         Tells the time.
 
@@ -107,9 +113,11 @@
 
     __slots__ = (
         "_clock",
+        "_dialer",
         "_limits",
         "_names",
         "_pool",
+        "_ways",
         "health_paths",
         "limiter",
         "probes_sent",
@@ -120,9 +128,13 @@
         pool: ConnectionPool,
         names: HeaderNames,
         limits: SharedLimits,
+        dialer: ServerDialer,
+        ways: DirectWays,
         clock: Clock,
     ) -> None:
+        self._dialer = dialer
         self._limits = limits
+        self._ways = ways
         self._clock = clock
         self.limiter = ProbeLimiter()
         self._names = names
@@ -184,8 +196,11 @@
             tasks.cancel_scope.cancel()
         now_s = self._clock.read_monotonic_s()
         for server, probed_at_s in round_.missing.items():
-            if now_s - probed_at_s >= LOAD_PROBE_TIMEOUT_S:
+            if now_s - probed_at_s < LOAD_PROBE_TIMEOUT_S:
+                continue
+            if probed_at_s >= self._ways.find_changed_at_s(server):
                 server.record_probe_timeout(now_s)
+                self._ways.record_silence(server)
         return round_.answers
 
     async def async_is_down(self, server: ServerView) -> bool:
@@ -197,9 +212,10 @@
         because the way there may be cut.
         """
         try:
-            connection = await self._pool.async_open(server.address, server.port)
+            connection = await self._dialer.async_open_to_judge(server)
         except ServerUnreachableError as error:
-            server.record_unreachable(self._clock.read_monotonic_s())
+            if not error.is_own_way:
+                server.record_unreachable(self._clock.read_monotonic_s())
             return error.is_refused
         answer: HttpAnswer | None = None
         try:
@@ -233,12 +249,15 @@
         """Return the connection of a server that takes work, or None."""
         try:
             connection = await self._pool.async_acquire(server, CONNECTION_IDLE_S_MAX)
-        except ServerUnreachableError:
-            server.record_unreachable(self._clock.read_monotonic_s())
+        except ServerUnreachableError as error:
+            if not error.is_own_way:
+                server.record_unreachable(self._clock.read_monotonic_s())
             return None
+        is_answered = False
         is_kept = False
         try:
             is_kept = await self._async_check(service, server, connection)
+            is_answered = True
         except BrokenAnswerError:
             # An idle connection may end at any time; that says nothing of the server.
             if connection.requests <= 1:
@@ -246,8 +265,15 @@
         finally:
             if not is_kept:
                 self._pool.discard(connection)
+            if not is_answered and connection.helper_id:
+                self._dialer.record_silent(connection.helper_id)
         return connection if is_kept else None
 
+    def record_answer(self, server: ServerView, connection: ServerConnection) -> None:
+        """Record that a server has answered on a connection."""
+        if not connection.helper_id:
+            self._ways.record_answer(server)
+
     async def _async_check(
         self, service: ServiceView, server: ServerView, connection: ServerConnection
     ) -> bool:
@@ -264,6 +290,7 @@
         if answer is None:
             return False
         service.answered_at_s = self._clock.read_monotonic_s()
+        self.record_answer(server, connection)
         if self._is_another(server, answer):
             server.record_unreachable(self._clock.read_monotonic_s())
             return False
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/settings.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/settings.py
@@ -28,6 +28,8 @@
     resends_use_new_connections : bool
         Whether callers send a request again only on a new connection, so that a later
         request of a connection is a first send.
+    tunnel_port : int
+        Port at which servers are reached for other VMs; 0 for none.
     grace_s : float
         Time between SIGTERM and SIGKILL, in seconds.
     link_mbps : float
@@ -48,3 +50,4 @@
     resends_use_new_connections: bool
     grace_s: float
     link_mbps: float = 0.0
+    tunnel_port: int = 0
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -86,6 +86,7 @@
         "_is_expired",
         "_is_head",
         "_is_paused",
+        "_is_retired",
         "_is_sending",
         "_transport",
         "_waiter",
@@ -109,6 +110,7 @@
         self._is_expired = False
         self._is_head = False
         self._is_paused = False
+        self._is_retired = False
         self._is_sending = False
         self._transport: Transport | None = None
         self._waiter: Future[None] | None = None
@@ -172,6 +174,11 @@
             self._can_write.set_result(None)
         self._can_write = None
 
+    @property
+    def helper_id(self) -> str:
+        """Return the VM through which the server is reached, empty for none."""
+        return ""
+
     @property
     def buffered_bytes(self) -> int:
         """Return how many bytes of an answer have arrived and were not taken."""
@@ -281,6 +288,13 @@
         self.is_receive_cancelled = True
         self._expire()
 
+    def retire(self) -> None:
+        """Close the connection as soon as nothing is under way on it."""
+        self._is_retired = True
+        self.is_reusable = False
+        if not self._is_busy:
+            self.abort()
+
     def _expire(self) -> None:
         """Have the receiver of the answer see its timeout."""
         self._is_expired = True
@@ -367,6 +381,7 @@
             and not collector.foreign
             and not self._is_head
             and not self._is_cut
+            and not self._is_retired
             and not self._is_sending
             and not self._has_unsent()
             and collector.keep_alive
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/pool.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/pool.py
@@ -13,6 +13,9 @@
 CONNECT_TIMEOUT_S = 0.25
 CONNECTION_AGE_S_MAX = 300.0
 CONNECTION_IDLE_S_MAX = 20.0
+HELPED_IDLE_S_MAX = 5.0
+"""Longest time for which a connection through another VM is kept unused."""
+
 IDLE_PER_SERVER_MAX = 8
 RECENT_USE_S = 1.0
 
@@ -39,6 +42,19 @@
         """Return the port."""
 
 
+class Dialer(Protocol):
+    """Opens connections to servers."""
+
+    async def async_open(self, address: ServerAddress) -> ServerConnection:
+        """Open a new connection.
+
+        Raises
+        ------
+        ServerUnreachableError
+            When the server can't be reached.
+        """
+
+
 class ServerUnreachableError(Exception):
     """No connection to a backend server could be opened; nothing was sent.
 
@@ -49,10 +65,15 @@
     is_refused : bool
         Whether the server's host answered that nothing listens; otherwise the way
         there may be cut as well.
+    is_own_way : bool
+        Whether nothing is known of the server, because this VM is cut off from it.
     """
 
-    def __init__(self, message: str, is_refused: bool = False) -> None:
+    def __init__(
+        self, message: str, is_refused: bool = False, is_own_way: bool = False
+    ) -> None:
         super().__init__(message)
+        self.is_own_way = is_own_way
         self.is_refused = is_refused
 
 
@@ -63,13 +84,19 @@
     ----------
     clock : Clock
         Tells the age of connections.
+
+    Attributes
+    ----------
+    dialer : Dialer or None
+        Opens connections; None to open them directly.
     """
 
-    __slots__ = ("_clock", "_idle", "discarded", "opened")
+    __slots__ = ("_clock", "_idle", "dialer", "discarded", "opened")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._idle: dict[str, deque[ServerConnection]] = {}
+        self.dialer: Dialer | None = None
         self.opened = 0
         self.discarded = 0
 
@@ -96,10 +123,12 @@
             connection = self._take_idle(server.vm_id, idle_s_max)
             if connection is not None:
                 return connection
+        if self.dialer is not None:
+            return await self.dialer.async_open(server)
         return await self.async_open(server.address, server.port)
 
     async def async_open(self, address: str, port: int) -> ServerConnection:
-        """Open a new connection.
+        """Open a new connection directly.
 
         Raises
         ------
@@ -163,7 +192,10 @@
         now_s = self._clock.read_monotonic_s()
         if now_s - connection.opened_at_s > CONNECTION_AGE_S_MAX:
             return False
-        return now_s - connection.used_at_s <= CONNECTION_IDLE_S_MAX
+        idle_s_max = (
+            HELPED_IDLE_S_MAX if connection.helper_id else CONNECTION_IDLE_S_MAX
+        )
+        return now_s - connection.used_at_s <= idle_s_max
 
     def _take_idle(self, vm_id: str, idle_s_max: float) -> ServerConnection | None:
         """Return the idle connection that was used last, if it is good."""
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to backend servers through another VM."""
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
@@ -0,0 +1,219 @@
+"""Reaches backend servers for VMs that don't reach them themselves.
+
+The bytes of a connection pass unread; what is sent is decided by the VM that asks. The
+end of a connection is told apart from its loss, because a clean end may end an
+answer.
+"""
+
+from __future__ import annotations
+
+from anyio import (
+    TASK_STATUS_IGNORED,
+    BrokenResourceError,
+    EndOfStream,
+    Lock,
+    connect_tcp,
+    create_task_group,
+    create_tcp_listener,
+    move_on_after,
+)
+from anyio.abc import SocketStream, TaskStatus
+from loguru import logger
+
+from cardamomtack.discovery.registry import ServerRegistry
+from cardamomtack.generated.tunnel import TunnelAnswer, TunnelMessage, TunnelOpen
+from cardamomtack.placing.server import ServerView
+from cardamomtack.reach.ways import DirectWays
+from cardamomtack_daemon.peers.stream import (
+    STREAM_ERRORS,
+    MessageStream,
+    encode_frame,
+)
+from cardamomtack_daemon.tunnels.const import (
+    CHUNK_LENGTH_BYTES,
+    CLOSE_TIMEOUT_S,
+    CONNECT_TIMEOUT_S,
+    LENGTH_END,
+    LENGTH_LEAVING,
+    REQUEST_TIMEOUT_S,
+    TUNNELS_MAX,
+)
+
+
+class _Tunnel:
+    """One connection of another VM to a server."""
+
+    __slots__ = ("_asker", "_lock", "_server")
+
+    def __init__(self, asker: SocketStream, server: SocketStream) -> None:
+        self._asker = asker
+        self._lock = Lock()
+        self._server = server
+
+    async def async_pass(self) -> None:
+        """Pass bytes on both ways until either end closes."""
+        async with create_task_group() as tasks:
+            tasks.start_soon(self._async_pass_answers)
+            try:
+                while True:
+                    await self._server.send(await self._asker.receive())
+            except STREAM_ERRORS:
+                # The VM has closed, or the server takes nothing more.
+                tasks.cancel_scope.cancel()
+
+    async def async_tell_leaving(self) -> None:
+        """Tell the other VM that nothing new may begin on this connection."""
+        try:
+            await self._async_send(LENGTH_LEAVING, b"")
+        except STREAM_ERRORS:
+            return
+
+    async def _async_pass_answers(self) -> None:
+        """Pass what the server sends on, and how it ends.
+
+        Raises
+        ------
+        BrokenResourceError
+            When the connection to the server is lost.
+        """
+        try:
+            while True:
+                data = await self._server.receive()
+                await self._async_send(len(data), data)
+        except EndOfStream:
+            await self._async_send(LENGTH_END, b"")
+        # The other VM closes when it has taken all.
+        with move_on_after(CLOSE_TIMEOUT_S):
+            await self._asker.receive()
+        raise BrokenResourceError
+
+    async def _async_send(self, length: int, data: bytes) -> None:
+        """Send a chunk to the other VM."""
+        async with self._lock:
+            await self._asker.send(length.to_bytes(CHUNK_LENGTH_BYTES, "big") + data)
+
+
+class TunnelServer:
+    """Opens connections to servers for other VMs.
+
+    Parameters
+    ----------
+    registry : ServerRegistry
+        The servers; nothing else is reached.
+    ways : DirectWays
+        The own ways to them.
+
+    Attributes
+    ----------
+    is_leaving : bool
+        Whether this VM leaves and takes no more connections.
+    """
+
+    __slots__ = ("_registry", "_tunnels", "_ways", "is_leaving")
+
+    def __init__(self, registry: ServerRegistry, ways: DirectWays) -> None:
+        self._registry = registry
+        self._tunnels: set[_Tunnel] = set()
+        self._ways = ways
+        self.is_leaving = False
+
+    @property
+    def count(self) -> int:
+        """Return how many connections are open for other VMs."""
+        return len(self._tunnels)
+
+    async def async_serve(
+        self,
+        address: str,
+        port: int,
+        *,
+        task_status: TaskStatus[None] = TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve other VMs until cancelled; started once it listens."""
+        listener = await create_tcp_listener(local_host=address, local_port=port)
+        async with listener:
+            task_status.started()
+            await listener.serve(self._async_serve_asker)
+
+    async def async_leave(self) -> None:
+        """Have the other VMs begin nothing new on their connections."""
+        self.is_leaving = True
+        async with create_task_group() as tasks:
+            for tunnel in self._tunnels:
+                tasks.start_soon(tunnel.async_tell_leaving)
+
+    async def _async_serve_asker(self, asker: SocketStream) -> None:
+        """Serve one connection of another VM."""
+        messages = MessageStream(asker, TunnelMessage)
+        try:
+            async with asker:
+                message = await messages.async_receive(REQUEST_TIMEOUT_S)
+                if message.open is not None:
+                    await self._async_open(message.open, asker, messages)
+        except* STREAM_ERRORS as group:
+            error = repr(group.exceptions[0])
+            logger.bind(error=error).debug("connection for another VM ended")
+
+    async def _async_open(
+        self,
+        wanted: TunnelOpen,
+        asker: SocketStream,
+        messages: MessageStream[TunnelMessage],
+    ) -> None:
+        """Open a connection to a server and pass bytes on while it lasts."""
+        answer, server = await self._async_connect(wanted)
+        message = TunnelMessage(answer=answer)
+        if server is None:
+            await messages.async_send_frame(encode_frame(message))
+            return
+        tunnel = _Tunnel(asker, server)
+        self._tunnels.add(tunnel)
+        try:
+            async with server:
+                await messages.async_send_frame(encode_frame(message))
+                await tunnel.async_pass()
+        finally:
+            self._tunnels.discard(tunnel)
+
+    async def _async_connect(
+        self, wanted: TunnelOpen
+    ) -> tuple[TunnelAnswer, SocketStream | None]:
+        """Return whether a server was reached, and the connection to it."""
+        if self.is_leaving or len(self._tunnels) >= TUNNELS_MAX:
+            return TunnelAnswer("busy"), None
+        server = self._registry.servers.get(wanted.server_id)
+        if server is None or not server.may_stay:
+            return TunnelAnswer("unknown"), None
+        if (server.address, server.port) != (wanted.address, wanted.port):
+            return TunnelAnswer("unknown"), None
+        if self._ways.is_helped(server):
+            return TunnelAnswer("cut"), None
+        return await self._async_connect_to(server)
+
+    async def _async_connect_to(
+        self, server: ServerView
+    ) -> tuple[TunnelAnswer, SocketStream | None]:
+        """Return whether a known server was reached, and the connection to it."""
+        stream: SocketStream | None = None
+        is_refused = False
+        try:
+            with move_on_after(CONNECT_TIMEOUT_S):
+                stream = await connect_tcp(server.address, server.port)
+        except OSError as error:
+            is_refused = _is_refused(error)
+        if stream is not None:
+            self._ways.record_opened(server)
+            return TunnelAnswer("open"), stream
+        self._ways.record_failed_open(server)
+        if self._ways.is_helped(server):
+            return TunnelAnswer("cut"), None
+        return TunnelAnswer("refused" if is_refused else "unreachable"), None
+
+
+def _is_refused(error: BaseException | None) -> bool:
+    """Return whether the host of a server has answered that nothing listens."""
+    while error is not None:
+        if isinstance(error, ConnectionRefusedError):
+            return True
+        error = error.__cause__
+    return False
--- /dev/null
+++ b/tests/cardamomtack/reach/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the ways to servers, and of those who help."""
--- a/tests/cardamomtack_daemon/forwarding/case.py
+++ b/tests/cardamomtack_daemon/forwarding/case.py
@@ -85,7 +85,7 @@
             self.configuration.log = store.configuration.log
             self.entries.log = store.entries.log
         self.members = store.members if store else MemoryMembers()
-        port, ready_port, relay_port = find_free_ports(3)
+        port, ready_port, relay_port, tunnel_port = find_free_ports(4)
         self.settings = EntrySettings(
             vm_id=vm_id,
             availability_zone=zone,
@@ -100,6 +100,7 @@
             body_memory_bytes=body_memory_bytes,
             resends_use_new_connections=True,
             grace_s=grace_s,
+            tunnel_port=tunnel_port,
         )
         self.stopping = anyio.Event()
         sources = StoreSources(
--- a/tests/cardamomtack_daemon/forwarding/cuts.py
+++ b/tests/cardamomtack_daemon/forwarding/cuts.py
@@ -10,6 +10,7 @@
 import anyio
 
 from cardamomtack_daemon import pool
+from cardamomtack_daemon.tunnels import server as tunnels
 from cardamomtack_daemon.http1.client import ServerConnection
 from tests.cardamomtack_daemon.forwarding.case import EntryVm
 from tests.cardamomtack_daemon.forwarding.memory import make_configuration
@@ -103,6 +104,15 @@
         self._connections.setdefault(vm_id, []).append((port, connection))
         return connection
 
+    async def async_connect_tcp(self, address: str, port: int):
+        """Open a connection that a VM wants for another one, as its own cut allows."""
+        cut = self.cuts.get(_VM_ID.get())
+        if cut is not None and port in self.barred[_VM_ID.get()]:
+            if cut in (Cut.RESET, Cut.REFUSE_NEW):
+                raise ConnectionRefusedError("cut off")
+            await anyio.sleep_forever()
+        return await anyio.connect_tcp(address, port)
+
     async def async_run_vm(self, vm: EntryVm) -> None:
         """Run a VM until it has shut down."""
         _VM_ID.set(vm.settings.vm_id)
@@ -111,7 +121,10 @@
     @asynccontextmanager
     async def run(self, configuration=None):
         """Run all VMs and servers."""
-        with patch.object(pool, "async_connect", self.async_connect):
+        with (
+            patch.object(pool, "async_connect", self.async_connect),
+            patch.object(tunnels, "connect_tcp", self.async_connect_tcp),
+        ):
             async with anyio.create_task_group() as tasks:
                 for server in self.servers:
                     await tasks.start(server.async_serve)
