--- a/packages/cardamomtack/src/cardamomtack/reach/ways.py
+++ b/packages/cardamomtack/src/cardamomtack/reach/ways.py
@@ -210,9 +210,10 @@
         servers = max(1, sum(find_group(one) == group for one in members))
         if len(way.failed_opens) >= min(FAILED_OPENS_MIN, servers):
             self._begin_help(group, way, now_s, False)
-        elif len(way.silent) >= min(SILENT_SERVERS_MIN, servers):
-            if now_s - min(way.silent.values()) >= SILENT_S_MIN:
-                self._begin_help(group, way, now_s, True)
+            return
+        is_silent = len(way.silent) >= min(SILENT_SERVERS_MIN, servers)
+        if is_silent and now_s - min(way.silent.values()) >= SILENT_S_MIN:
+            self._begin_help(group, way, now_s, True)
 
     def _begin_help(
         self, group: Group, way: _GroupWay, now_s: float, is_silent: bool
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
@@ -194,6 +194,11 @@
                 while round_.missing and not round_.answers:
                     await round_.async_wait(LOAD_PROBE_TIMEOUT_S_MAX)
             tasks.cancel_scope.cancel()
+        self._record_missing(round_)
+        return round_.answers
+
+    def _record_missing(self, round_: _ProbeRound) -> None:
+        """Record which servers did not answer in time."""
         now_s = self._clock.read_monotonic_s()
         for server, probed_at_s in round_.missing.items():
             if now_s - probed_at_s < LOAD_PROBE_TIMEOUT_S:
@@ -201,7 +206,6 @@
             if probed_at_s >= self._ways.find_changed_at_s(server):
                 server.record_probe_timeout(now_s)
                 self._ways.record_silence(server)
-        return round_.answers
 
     async def async_is_down(self, server: ServerView) -> bool:
         """Return whether a server that cut a connection has gone down.
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
@@ -16,6 +16,7 @@
     create_task_group,
     create_tcp_listener,
     move_on_after,
+    sleep,
 )
 from anyio.abc import SocketStream, TaskStatus
 from loguru import logger
@@ -82,9 +83,8 @@
                 await self._async_send(len(data), data)
         except EndOfStream:
             await self._async_send(LENGTH_END, b"")
-        # The other VM closes when it has taken all.
-        with move_on_after(CLOSE_TIMEOUT_S):
-            await self._asker.receive()
+        # The other VM closes when it has taken all, which ends the wait.
+        await sleep(CLOSE_TIMEOUT_S)
         raise BrokenResourceError
 
     async def _async_send(self, length: int, data: bytes) -> None:
--- a/tests/cardamomtack_daemon/forwarding/cuts.py
+++ b/tests/cardamomtack_daemon/forwarding/cuts.py
@@ -10,8 +10,8 @@
 import anyio
 
 from cardamomtack_daemon import pool
-from cardamomtack_daemon.tunnels import server as tunnels
 from cardamomtack_daemon.http1.client import ServerConnection
+from cardamomtack_daemon.tunnels import server as tunnels
 from tests.cardamomtack_daemon.forwarding.case import EntryVm
 from tests.cardamomtack_daemon.forwarding.memory import make_configuration
 from tests.cardamomtack_daemon.forwarding.servers import ScriptedServer
@@ -58,9 +58,11 @@
         Servers that a VM that is cut off does not reach, by its id; all by default.
     """
 
-    def __init__(self, vms: int, servers: int) -> None:
-        self.vms = [EntryVm("vm-0")]
-        self.vms += [EntryVm(f"vm-{number}", self.vms[0]) for number in range(1, vms)]
+    def __init__(self, vms: int, servers: int, **options: object) -> None:
+        self.vms = [EntryVm("vm-0", **options)]
+        self.vms += [
+            EntryVm(f"vm-{number}", self.vms[0], **options) for number in range(1, vms)
+        ]
         self.servers = [ScriptedServer(f"server-{number}") for number in range(servers)]
         self.cuts: dict[str, Cut] = {}
         self.barred: dict[str, set[int]] = {}
@@ -86,6 +88,10 @@
                     transport.pause_reading()
                 connection._transport = _NoTransport()
 
+    def list_connections(self, vm: EntryVm) -> list[tuple[int, ServerConnection]]:
+        """Return the connections that a VM has opened itself, with their ports."""
+        return self._connections.get(vm.settings.vm_id, [])
+
     def heal(self) -> None:
         """End all cuts; connections that hang go on hanging."""
         self.cuts.clear()
