Reject at once what no VM reaches, and play cuts of more kinds

What callers saw: nothing yet; found by a test before the landing. While all VMs were cut off, callers were held for a second in the queue, since servers that are not reached are no longer taken for failed ones.

--- a/packages/cardamomtack/src/cardamomtack/reach/helpers.py
+++ b/packages/cardamomtack/src/cardamomtack/reach/helpers.py
@@ -66,6 +66,13 @@
         drawn = self._random.sample(able, min(CHOICES, len(able)))
         return min(drawn, key=self._compute_share)
 
+    def can_help(self, now_s: float) -> bool:
+        """Return whether a VM could be asked now."""
+        return now_s >= self._in_vain_until_s and any(
+            one.tunnel_port and self._find(one.vm_id).paused_until_s <= now_s
+            for one in self._members.list_members()[1:]
+        )
+
     def has_any(self) -> bool:
         """Return whether there is another VM at all."""
         return any(one.tunnel_port for one in self._members.list_members()[1:])
--- a/packages/cardamomtack/src/cardamomtack/reach/ways.py
+++ b/packages/cardamomtack/src/cardamomtack/reach/ways.py
@@ -123,6 +123,11 @@
         way.opens += 1
         return False
 
+    def is_cut(self, server: ServerView) -> bool:
+        """Return whether this VM is cut off from a server, as far as it knows."""
+        way = self._groups.get(find_group(server))
+        return way is not None and way.state is WayState.HELPED
+
     def find_changed_at_s(self, server: ServerView) -> float:
         """Return since when a server is reached as it is, in monotonic seconds.
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -255,7 +255,9 @@
         self._prober = ServerProber(
             self._pool, names, self._limits, self._dialer, ways, clock
         )
-        placer = Placer(self._registry, chooser, self._prober, self._pool, clock)
+        placer = Placer(
+            self._registry, chooser, self._prober, self._pool, self._dialer, clock
+        )
         self._sender = RequestSender(
             self._pool,
             self._prober,
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -36,6 +36,7 @@
     ConnectionPool,
     ServerUnreachableError,
 )
+from cardamomtack_daemon.tunnels.dialer import ServerDialer
 
 
 @dataclass(slots=True, frozen=True)
@@ -67,6 +68,8 @@
         Asks servers for their load.
     pool : ConnectionPool
         Connections to servers.
+    dialer : ServerDialer
+        Knows which servers are not reached.
     clock : Clock
         Tells the time.
 
@@ -79,6 +82,7 @@
     __slots__ = (
         "_chooser",
         "_clock",
+        "_dialer",
         "_pool",
         "_prober",
         "_queues",
@@ -92,8 +96,10 @@
         chooser: PlacementChooser,
         prober: ServerProber,
         pool: ConnectionPool,
+        dialer: ServerDialer,
         clock: Clock,
     ) -> None:
+        self._dialer = dialer
         self._prober = prober
         self._chooser = chooser
         self._clock = clock
@@ -150,6 +156,8 @@
     ) -> ProbedServer | None:
         """Return a server for a call, not counted yet, or None."""
         service = self._registry.find_service(call.service)
+        if self._reaches_none(service):
+            return None
         if service.reports_load is False:
             return await self._async_place_unprobed(service, call)
         queue = self._find_queue(call.service)
@@ -164,6 +172,20 @@
             placed = await self._async_place_without_capacity(service, call)
         return placed
 
+    def _reaches_none(self, service: ServiceView) -> bool:
+        """Return whether no server of a service is known to be reached by any VM.
+
+        Old connections may live on, and tell otherwise.
+        """
+        members = service.members
+        if not members or not self._dialer.is_unreachable(members[0]):
+            return False
+        return not any(
+            one.may_stay
+            and (self._pool.has_idle(one) or not self._dialer.is_unreachable(one))
+            for one in members
+        )
+
     def release_connection(
         self, server: ServerView, connection: ServerConnection
     ) -> None:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/dialer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/dialer.py
@@ -116,6 +116,12 @@
         self._ways.record_opened(server)
         return connection
 
+    def is_unreachable(self, server: ServerView) -> bool:
+        """Return whether neither this VM nor another one is known to reach a server."""
+        if not self._ways.is_cut(server):
+            return False
+        return not self._helpers.can_help(self._clock.read_monotonic_s())
+
     def record_silent(self, helper_id: str) -> None:
         """Record that nothing came back through another VM."""
         now_s = self._clock.read_monotonic_s()
--- a/tests/cardamomtack_daemon/forwarding/cuts.py
+++ b/tests/cardamomtack_daemon/forwarding/cuts.py
@@ -66,6 +66,7 @@
         self.servers = [ScriptedServer(f"server-{number}") for number in range(servers)]
         self.cuts: dict[str, Cut] = {}
         self.barred: dict[str, set[int]] = {}
+        self._scopes: dict[str, anyio.CancelScope] = {}
         self._connections: dict[str, list[tuple[int, ServerConnection]]] = {}
         self._connect = pool.async_connect
 
@@ -119,10 +120,16 @@
             await anyio.sleep_forever()
         return await anyio.connect_tcp(address, port)
 
+    def kill(self, vm: EntryVm) -> None:
+        """End a VM at once."""
+        self._scopes[vm.settings.vm_id].cancel()
+
     async def async_run_vm(self, vm: EntryVm) -> None:
-        """Run a VM until it has shut down."""
+        """Run a VM until it has shut down or is killed."""
         _VM_ID.set(vm.settings.vm_id)
-        await vm.daemon.async_serve(vm.stopping)
+        with anyio.CancelScope() as scope:
+            self._scopes[vm.settings.vm_id] = scope
+            await vm.daemon.async_serve(vm.stopping)
 
     @asynccontextmanager
     async def run(self, configuration=None):
