Tell all VMs of a pause that was heard through another one

What callers saw: nothing; a promise to servers over both hops. A server that asks for a pause means the VM whose connection it saw, which passes bytes on unread and would send its own requests, and those of other VMs, all the same.

Why this fixes it: a VM that hears a pause through another one tells all; they leave the server alone for as long. Pauses that were heard directly stay with the VM that heard them.

Evidence: test_server_that_pauses_gets_requests_through_the_vm_that_it_meant passes; it was not run without the change.

--- a/packages/cardamomtack/src/cardamomtack/limits/coordinator.py
+++ b/packages/cardamomtack/src/cardamomtack/limits/coordinator.py
@@ -126,6 +126,11 @@
         self._mark_leaving()
         return known is None
 
+    def find_server(self, server_key: str) -> ServerView | None:
+        """Return an incarnation of a server by its key, or None when it is unknown."""
+        server = self._registry.servers.get(server_key.rpartition("/")[0])
+        return server if server is not None and server.key == server_key else None
+
     def list_leaving(self) -> list[str]:
         """Return the keys of the servers that have said last that they leave."""
         return list(self._leaving)[-LEAVING_TOLD:]
@@ -133,8 +138,8 @@
     def _mark_leaving(self) -> None:
         """Mark the servers that leave, also one whose entry has come back."""
         for key, is_own in self._leaving.items():
-            server = self._registry.servers.get(key.rpartition("/")[0])
-            if server is not None and server.key == key:
+            server = self.find_server(key)
+            if server is not None:
                 server.demands.is_leaving = is_own
                 server.demands.is_said_to_leave = not is_own
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -305,6 +305,7 @@
                 answer,
                 send.sent_at_s,
                 can_end=result.outcome is SendOutcome.ANSWERED,
+                is_helped=bool(send.connection.helper_id),
             )
             send.record.rate_limit = rate if rate is not None else NO_RATE_LIMIT
         if not answer.is_whole and result.answer is not None:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
@@ -298,7 +298,8 @@
         if self._is_another(server, answer):
             server.record_unreachable(self._clock.read_monotonic_s())
             return False
-        self._limits.record_check(server, answer, sent_at_s)
+        is_helped = bool(connection.helper_id)
+        self._limits.record_check(server, answer, sent_at_s, is_helped)
         self._record_warm_up(server, answer)
         self._record_load(service, server, answer)
         if answer.status != STATUS_OK:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/shared_limits.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/shared_limits.py
@@ -8,6 +8,7 @@
 
 from cardamomtack.generated.relay import Member, ServerLimit, VmHeartbeat
 from cardamomtack.helpers.clock import MS_PER_S, Clock
+from cardamomtack.limits.const import PAUSE_S_MAX
 from cardamomtack.limits.coordinator import LimitCoordinator
 from cardamomtack.limits.demands import parse_pause_s
 from cardamomtack.placing.server import ServerView
@@ -17,6 +18,9 @@
 EVENT_LIMIT = "limit of a server heard"
 HEADER_RETRY_AFTER = b"retry-after"
 LEAVING_VALUE = b"1"
+PAUSE_NEWS_S = 0.1
+"""By how much a pause must be longer than the known one to be passed on."""
+
 STATUS_UNAVAILABLE = 503
 
 
@@ -90,6 +94,7 @@
         answer: HttpAnswer,
         sent_at_s: float,
         can_end: bool,
+        is_helped: bool = False,
     ) -> float | None:
         """Record what the answer to a request says of a limit, and return the limit.
 
@@ -100,6 +105,8 @@
         can_end : bool
             Whether an answer without a limit ends it; a refusal or a failure may come
             from a part of the server that names none.
+        is_helped : bool
+            Whether the server was reached through another VM.
 
         Returns
         -------
@@ -107,7 +114,7 @@
             In requests a second; None when the answer names no limit.
         """
         self._hear_leaving(server, answer)
-        self._hear_pause(server, answer)
+        self._hear_pause(server, answer, is_helped)
         if can_end:
             server.demands.record_success(sent_at_s)
         is_readable, rate_per_s = self._read_limit(answer)
@@ -121,7 +128,11 @@
         return rate_per_s
 
     def record_check(
-        self, server: ServerView, answer: HttpAnswer, sent_at_s: float
+        self,
+        server: ServerView,
+        answer: HttpAnswer,
+        sent_at_s: float,
+        is_helped: bool = False,
     ) -> None:
         """Record what the answer to a health check says of a limit.
 
@@ -131,7 +142,7 @@
             Monotonic time at which the check was sent, in seconds.
         """
         self._hear_leaving(server, answer)
-        self._hear_pause(server, answer)
+        self._hear_pause(server, answer, is_helped)
         is_readable, rate_per_s = self._read_limit(answer)
         now_s = self._clock.read_monotonic_s()
         if is_readable and self._coordinator.statements.record_check(
@@ -148,6 +159,10 @@
                 if self._coordinator.record_leaving(limit.server_key, False):
                     news.append(limit)
                 continue
+            if limit.pause_ms > 0:
+                if self._apply_pause(limit, now_s):
+                    news.append(limit)
+                continue
             heard_at_s = now_s - limit.age_ms / MS_PER_S
             if self._coordinator.statements.apply_notice(
                 limit.server_key, limit.rate_per_s, heard_at_s
@@ -158,6 +173,17 @@
             self.share()
         return news
 
+    def _apply_pause(self, limit: ServerLimit, now_s: float) -> bool:
+        """Apply a pause that another VM has heard, and return whether it is news."""
+        server = self._coordinator.find_server(limit.server_key)
+        pause_s = (limit.pause_ms - limit.age_ms) / MS_PER_S
+        if server is None or pause_s <= PAUSE_NEWS_S:
+            return False
+        if now_s + pause_s <= server.demands.paused_until_s + PAUSE_NEWS_S:
+            return False
+        server.demands.record_pause(pause_s, now_s)
+        return True
+
     def list_limits(self) -> list[ServerLimit]:
         """Return what servers have said, for a VM that may not know it."""
         now_s = self._clock.read_monotonic_s()
@@ -216,8 +242,13 @@
             limit = ServerLimit(server.key, 0, is_leaving=True)
             self._broadcaster.broadcast_limits([limit])
 
-    def _hear_pause(self, server: ServerView, answer: HttpAnswer) -> None:
-        """Hear for how long a server that turns requests away wants none."""
+    def _hear_pause(
+        self, server: ServerView, answer: HttpAnswer, is_helped: bool
+    ) -> None:
+        """Hear for how long a server that turns requests away wants none.
+
+        A server that was reached through another VM means that one, too.
+        """
         value = answer.find_header(HEADER_RETRY_AFTER)
         if value is None or answer.status != STATUS_UNAVAILABLE:
             return
@@ -234,6 +265,10 @@
                 "server asks for a pause"
             )
         server.demands.record_pause(pause_s, now_s)
+        if is_helped and pause_s > 0:
+            pause_ms = int(min(pause_s, PAUSE_S_MAX) * MS_PER_S)
+            limit = ServerLimit(server.key, 0, pause_ms=pause_ms)
+            self._broadcaster.broadcast_limits([limit])
 
     def _read_limit(self, answer: HttpAnswer) -> tuple[bool, float | None]:
         """Return whether an answer can be read, and the limit that it names."""
--- a/tests/cardamomtack_daemon/forwarding/test_cut_vms.py
+++ b/tests/cardamomtack_daemon/forwarding/test_cut_vms.py
@@ -13,6 +13,7 @@
     ZONE,
     async_answer,
     write_answer,
+    write_not_run,
 )
 
 AT_ONCE_S = 0.1
@@ -182,6 +183,26 @@
 
         self.play(scenario)
 
+    def test_server_that_pauses_gets_requests_through_the_vm_that_it_meant(self):
+        async def scenario(fleet):
+            async def pause(server, request, stream):
+                await stream.send(write_not_run(request, retry_after="2.0"))
+
+            vm = fleet.vms[0]
+            fleet.cut(vm, Cut.RESET)
+            await async_call_often(vm, "soon", "read", 20)
+            first = fleet.servers[0]
+            first.script = pause
+            await async_call_often(vm, "pausing", "read", 20)
+            await anyio.sleep(0.3)
+            before = len(first.requests)
+            self.assertGreater(before, 0)
+            for other in fleet.vms:
+                await async_call_often(other, f"{other.settings.vm_id}", "read", 10)
+            self.assertEqual(len(first.requests), before)
+
+        self.play(scenario, servers=2)
+
     def test_bookings_run_twice_when_a_helper_ends_in_the_middle(self):
         async def scenario(fleet):
             async def hold(server, request, stream):
