Soak cuts of VMs from servers, and configurations of 1,400 routes

The soak cuts one, two, three or all of its VMs off from all or half of the servers, in four ways, and publishes configurations of 200 KB.

--- /dev/null
+++ b/tests/cardamomtack/reach/test_helpers.py
@@ -0,0 +1,77 @@
+"""Which VMs are asked for help, and how evenly."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+from random import Random
+
+from cardamomtack.generated.relay import Member
+from cardamomtack.reach.helpers import HelperTable
+from cardamomtack.replicas.members import MemberTable
+
+
+def make_table(vms, links_mbps=(), tunnel_port=7001):
+    """Return the helpers of the first of some VMs."""
+    members = [
+        Member(f"vm-{number:03}", "1", "zone", "10.0.0.1", 7000)
+        for number in range(vms)
+    ]
+    table = MemberTable(members[0])
+    for number, member in enumerate(members[1:]):
+        member.tunnel_port = tunnel_port
+        member.link_mbps = links_mbps[number] if links_mbps else 0.0
+        table.update_member(member)
+    return HelperTable(table, Random(1))
+
+
+class HelpersTest(unittest.TestCase):
+    """The other VMs as one VM sees them."""
+
+    def test_few_vms_help_all(self):
+        helpers = make_table(6)
+        counts = Counter()
+        for _ in range(100):
+            helper = helpers.choose(set(), 0.0)
+            helpers.record_opened(helper.vm_id)
+            counts[helper.vm_id] += 1
+        self.assertEqual(len(counts), 5)
+        self.assertLessEqual(max(counts.values()), 24)
+
+    def test_vms_with_small_links_help_as_much_as_others(self):
+        helpers = make_table(5, (100.0, 100.0, 5.0, 5.0))
+        counts = Counter()
+        for _ in range(120):
+            helper = helpers.choose(set(), 0.0)
+            helpers.record_opened(helper.vm_id)
+            counts[helper.vm_id] += 1
+        small = counts["vm-003"] + counts["vm-004"]
+        self.assertLess(small, 40)
+
+    def test_vm_that_can_not_help_is_asked_again_and_again(self):
+        helpers = make_table(9)
+        paused = helpers.choose(set(), 0.0)
+        helpers.record_failure(paused.vm_id, 0.0)
+        chosen = {helpers.choose(set(), 0.4).vm_id for _ in range(200)}
+        self.assertNotIn(paused.vm_id, chosen)
+        chosen = {helpers.choose(set(), 0.6).vm_id for _ in range(200)}
+        self.assertIn(paused.vm_id, chosen)
+
+    def test_callers_wait_while_all_vms_are_asked_in_turn(self):
+        helpers = make_table(300)
+        for number in range(4):
+            helper = helpers.choose(set(), 0.0)
+            self.assertIsNotNone(helper, number)
+            helpers.record_failure(helper.vm_id, 0.0)
+        self.assertIsNone(helpers.choose(set(), 0.0))
+        self.assertFalse(helpers.can_help(0.0))
+        self.assertTrue(helpers.can_help(0.6))
+
+    def test_vm_without_the_port_is_asked(self):
+        helpers = make_table(3, tunnel_port=0)
+        self.assertIsNone(helpers.choose(set(), 0.0))
+        self.assertFalse(helpers.has_any())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/cardamomtack_daemon/forwarding/cuts.py
+++ b/tests/cardamomtack_daemon/forwarding/cuts.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 from contextvars import ContextVar
 from enum import Enum
 from unittest.mock import patch
 
 import anyio
+from anyio.abc import SocketStream
 
 from cardamomtack_daemon import pool
-from cardamomtack_daemon.http1.client import ServerConnection
+from cardamomtack_daemon.http1.client import ServerConnection, async_connect
 from cardamomtack_daemon.tunnels import server as tunnels
 from tests.cardamomtack_daemon.forwarding.case import EntryVm
 from tests.cardamomtack_daemon.forwarding.memory import make_configuration
@@ -47,86 +48,107 @@
         return 0
 
 
-class CutFleet:
-    """VMs and servers of one service, and the cuts between them.
-
-    Attributes
-    ----------
-    cuts : dict
-        How each VM is cut off, by its id; those that are not there reach all servers.
-    barred : dict
-        Servers that a VM that is cut off does not reach, by its id; all by default.
-    """
+class CutNetwork:
+    """The connections of VMs to servers, and the cuts between them."""
 
-    def __init__(self, vms: int, servers: int, **options: object) -> None:
-        self.vms = [EntryVm("vm-0", **options)]
-        self.vms += [
-            EntryVm(f"vm-{number}", self.vms[0], **options) for number in range(1, vms)
-        ]
-        self.servers = [ScriptedServer(f"server-{number}") for number in range(servers)]
-        self.cuts: dict[str, Cut] = {}
-        self.barred: dict[str, set[int]] = {}
-        self._scopes: dict[str, anyio.CancelScope] = {}
+    def __init__(self) -> None:
+        self._barred: dict[str, set[int]] = {}
         self._connections: dict[str, list[tuple[int, ServerConnection]]] = {}
-        self._connect = pool.async_connect
+        self._cuts: dict[str, Cut] = {}
 
-    def cut(self, vm: EntryVm, cut: Cut, servers: list[ScriptedServer] | None = None):
-        """Cut a VM off from servers, from all of them by default."""
-        vm_id = vm.settings.vm_id
-        self.cuts[vm_id] = cut
-        barred = {one.port for one in servers or self.servers}
-        self.barred[vm_id] = barred
-        for port, connection in self._connections.get(vm_id, []):
+    @contextmanager
+    def apply(self):
+        """Have the VMs open their connections to servers here."""
+        with (
+            patch.object(pool, "async_connect", self.async_connect),
+            patch.object(tunnels, "connect_tcp", self.async_connect_tcp),
+        ):
+            yield
+
+    def enter_vm(self, vm_id: str) -> None:
+        """Have the connections that the calling task opens be those of a VM."""
+        _VM_ID.set(vm_id)
+
+    def list_connections(self, vm_id: str) -> list[tuple[int, ServerConnection]]:
+        """Return the connections that a VM has opened itself, with their ports."""
+        return self._connections.get(vm_id, [])
+
+    def cut(self, vm_id: str, cut: Cut, ports: set[int]) -> None:
+        """Cut a VM off from the servers with some ports."""
+        self._cuts[vm_id] = cut
+        self._barred[vm_id] = ports
+        for port, connection in self.list_connections(vm_id):
             transport = connection._transport
-            if port not in barred or transport is None:
+            if port not in ports or transport is None or connection._is_cut:
                 continue
             if cut is Cut.RESET:
                 transport.abort()
-            elif cut is Cut.ONE_WAY and not connection._is_cut:
+            elif cut in (Cut.HANG, Cut.ONE_WAY):
                 transport.pause_reading()
-            elif cut is Cut.HANG:
-                if not connection._is_cut:
-                    transport.pause_reading()
+            if cut is Cut.HANG:
                 connection._transport = _NoTransport()
 
-    def list_connections(self, vm: EntryVm) -> list[tuple[int, ServerConnection]]:
-        """Return the connections that a VM has opened itself, with their ports."""
-        return self._connections.get(vm.settings.vm_id, [])
-
-    def heal(self) -> None:
-        """End all cuts; connections that hang go on hanging."""
-        self.cuts.clear()
+    def heal(self, vm_id: str) -> None:
+        """End the cut of a VM; connections that hang go on hanging."""
+        self._cuts.pop(vm_id, None)
 
     async def async_connect(
         self, address: str, port: int, now_s: float, uses_tcp_keepalive: bool = False
     ) -> ServerConnection:
         """Open a connection of the VM that calls, as its cut allows."""
-        vm_id = _VM_ID.get()
-        cut = self.cuts.get(vm_id)
-        if cut is not None and port in self.barred[vm_id]:
-            if cut in (Cut.RESET, Cut.REFUSE_NEW):
-                raise ConnectionRefusedError("cut off")
-            await anyio.sleep_forever()
-        connection = await self._connect(address, port, now_s, uses_tcp_keepalive)
-        self._connections.setdefault(vm_id, []).append((port, connection))
+        await self._async_pass(port)
+        connection = await async_connect(address, port, now_s, uses_tcp_keepalive)
+        self._connections.setdefault(_VM_ID.get(), []).append((port, connection))
         return connection
 
-    async def async_connect_tcp(self, address: str, port: int):
+    async def async_connect_tcp(self, address: str, port: int) -> SocketStream:
         """Open a connection that a VM wants for another one, as its own cut allows."""
-        cut = self.cuts.get(_VM_ID.get())
-        if cut is not None and port in self.barred[_VM_ID.get()]:
-            if cut in (Cut.RESET, Cut.REFUSE_NEW):
-                raise ConnectionRefusedError("cut off")
-            await anyio.sleep_forever()
+        await self._async_pass(port)
         return await anyio.connect_tcp(address, port)
 
+    async def _async_pass(self, port: int) -> None:
+        """Wait for ever, or fail, when the VM that calls is cut off from a server."""
+        cut = self._cuts.get(_VM_ID.get())
+        if cut is None or port not in self._barred[_VM_ID.get()]:
+            return
+        if cut in (Cut.RESET, Cut.REFUSE_NEW):
+            raise ConnectionRefusedError("cut off")
+        await anyio.sleep_forever()
+
+
+class CutFleet:
+    """VMs and servers of one service, and the cuts between them."""
+
+    def __init__(self, vms: int, servers: int, **options: object) -> None:
+        self.vms = [EntryVm("vm-0", **options)]
+        self.vms += [
+            EntryVm(f"vm-{number}", self.vms[0], **options) for number in range(1, vms)
+        ]
+        self.servers = [ScriptedServer(f"server-{number}") for number in range(servers)]
+        self._network = CutNetwork()
+        self._scopes: dict[str, anyio.CancelScope] = {}
+
+    def cut(self, vm: EntryVm, cut: Cut, servers: list[ScriptedServer] | None = None):
+        """Cut a VM off from servers, from all of them by default."""
+        ports = {one.port for one in servers or self.servers}
+        self._network.cut(vm.settings.vm_id, cut, ports)
+
+    def heal(self) -> None:
+        """End all cuts."""
+        for vm in self.vms:
+            self._network.heal(vm.settings.vm_id)
+
     def kill(self, vm: EntryVm) -> None:
         """End a VM at once."""
         self._scopes[vm.settings.vm_id].cancel()
 
+    def list_connections(self, vm: EntryVm) -> list[tuple[int, ServerConnection]]:
+        """Return the connections that a VM has opened itself, with their ports."""
+        return self._network.list_connections(vm.settings.vm_id)
+
     async def async_run_vm(self, vm: EntryVm) -> None:
         """Run a VM until it has shut down or is killed."""
-        _VM_ID.set(vm.settings.vm_id)
+        self._network.enter_vm(vm.settings.vm_id)
         with anyio.CancelScope() as scope:
             self._scopes[vm.settings.vm_id] = scope
             await vm.daemon.async_serve(vm.stopping)
@@ -134,10 +156,7 @@
     @asynccontextmanager
     async def run(self, configuration=None):
         """Run all VMs and servers."""
-        with (
-            patch.object(pool, "async_connect", self.async_connect),
-            patch.object(tunnels, "connect_tcp", self.async_connect_tcp),
-        ):
+        with self._network.apply():
             async with anyio.create_task_group() as tasks:
                 for server in self.servers:
                     await tasks.start(server.async_serve)
--- a/tests/cardamomtack_daemon/replicas/test_large_configuration.py
+++ b/tests/cardamomtack_daemon/replicas/test_large_configuration.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import unittest
-from random import Random
 
 import anyio
 
@@ -11,6 +10,7 @@
 from cardamomtack_standins.fleet import find_free_ports
 from tests.cardamomtack_daemon.forwarding.memory import ROUTES
 from tests.cardamomtack_daemon.replicas.links import SmallLink
+from tests.cardamomtack_daemon.replicas.routes import describe_routes
 from tests.cardamomtack_daemon.replicas.test_fleet import (
     APPLY_S,
     ONLY_READ,
@@ -24,17 +24,6 @@
 VMS = 9
 
 
-def describe_routes(count: int) -> bytes:
-    """Return the text of many routes that nobody uses."""
-    random = Random(1)
-    return b",".join(
-        b'{"name":"r-%05d","pathPrefix":"/%08x/","kind":"idempotent","timeoutS":4.0,'
-        b'"sloS":1.0,"priority":2,"attempts":3,"service":"s"}'
-        % (number, random.getrandbits(32))
-        for number in range(count)
-    )
-
-
 class LinkedFleet(RelayFleet):
     """VMs whose relays are reached over small links."""
 
--- a/tests/cardamomtack_daemon/replicas/test_soak.py
+++ b/tests/cardamomtack_daemon/replicas/test_soak.py
@@ -16,16 +16,19 @@
 
 from tests.cardamomtack_daemon.forwarding.callers import Caller, CallerAnswer
 from tests.cardamomtack_daemon.forwarding.case import EntryVm
+from tests.cardamomtack_daemon.forwarding.cuts import Cut, CutNetwork
 from tests.cardamomtack_daemon.forwarding.memory import ROUTES, make_configuration
 from tests.cardamomtack_daemon.forwarding.servers import (
     ScriptedServer,
     write_answer,
     write_not_run,
 )
+from tests.cardamomtack_daemon.replicas.routes import describe_routes
 
 CALL_ERRORS = (OSError, anyio.BrokenResourceError, TimeoutError)
 CALLS_PER_S = 50.0
 COPY_AGE_S_MAX = 4.0
+CUT_S_MAX = 5.0
 DEADLINE_MS = 1500
 DRAIN_S_MAX = 4.0
 """Work that comes later than this after an entry says draining breaks a promise."""
@@ -34,6 +37,7 @@
 FAULT_S = 2.5
 HEALED_S = 6.0
 LATE_S = 0.8
+ROUTES_IDLE = 1400
 SERVERS = 6
 VMS = 5
 FOREIGN = b"HTTP/1.1 200 X\r\ntest-id: other\r\ntest-signature: s\r\n"
@@ -193,6 +197,8 @@
             EntryVm(f"vm-{number}", self.store, zone=f"zone-{number % 2}")
             for number in range(1, VMS)
         ]
+        self.store.codec.padding = describe_routes(ROUTES_IDLE)
+        self.network = CutNetwork()
         self.scopes = [anyio.CancelScope() for _ in range(VMS)]
         self.servers = [
             SoakServer(
@@ -202,6 +208,11 @@
         ]
 
     async def async_run(self) -> None:
+        """Play faults and callers, then only callers, and check what they saw."""
+        with self.network.apply():
+            await self.async_play()
+
+    async def async_play(self) -> None:
         """Play faults and callers, then only callers, and check what they saw."""
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
@@ -225,6 +236,7 @@
     async def async_run_vm(self, number: int) -> None:
         """Run one VM until it is killed."""
         vm = self.vms[number]
+        self.network.enter_vm(vm.settings.vm_id)
         self.tasks.start_soon(self.async_keep_calling, vm)
         with self.scopes[number]:
             await vm.daemon.async_serve(vm.stopping)
@@ -306,6 +318,8 @@
             self.async_stop_vm,
             self.async_publish,
             self.async_name_limit,
+            self.async_cut_vms,
+            self.async_cut_vms,
         ]
         while True:
             self.tasks.start_soon(self.random.choice(acts))
@@ -372,6 +386,19 @@
             setattr(vm.configuration, kind, False)
             setattr(vm.entries, kind, False)
 
+    async def async_cut_vms(self) -> None:
+        """Cut some or all VMs off from all or some servers for a while."""
+        servers = self.random.choice((SERVERS, SERVERS, SERVERS // 2))
+        ports = {one.port for one in self.random.sample(self.servers, servers)}
+        cut = self.random.choice(list(Cut))
+        vms = self.random.sample(self.vms, self.random.choice((1, 2, 3, VMS)))
+        names = [vm.settings.vm_id for vm in vms]
+        for name in names:
+            self.network.cut(name, cut, ports)
+        await anyio.sleep(self.random.uniform(0.5, CUT_S_MAX))
+        for name in names:
+            self.network.heal(name)
+
     async def async_restore_store(self) -> None:
         """Bring the store back from a copy; what was lost is written again."""
         logs = [self.store.configuration.log, self.store.entries.log]
