Let neither silent servers nor two that are down pass for a cut

A probe through another VM that was dropped because others had answered counted against that VM, and four in a row kept all VMs from helping; and two servers of an availability zone that crashed had a VM ask others.

Why this fixes it: only probes that nothing answered for as long as a probe may take have the VM passed over for a moment, without an end of all help; and three servers have to fail.

Evidence: test_silent_servers_keep_all_vms_from_helping and test_two_servers_that_are_down_are_taken_for_a_cut, written with the change.

--- a/packages/cardamomtack/src/cardamomtack/reach/const.py
+++ b/packages/cardamomtack/src/cardamomtack/reach/const.py
@@ -5,7 +5,7 @@
 EVIDENCE_S: Final = 5.0
 """For how long a failure speaks against the own way."""
 
-FAILED_OPENS_MIN: Final = 2
+FAILED_OPENS_MIN: Final = 3
 """Servers that must refuse connections before others are asked to reach them."""
 
 HELPER_PAUSE_S_MAX: Final = 8.0
--- a/packages/cardamomtack/src/cardamomtack/reach/helpers.py
+++ b/packages/cardamomtack/src/cardamomtack/reach/helpers.py
@@ -95,6 +95,11 @@
             self._in_vain = 0
             self._in_vain_until_s = now_s + IN_VAIN_S
 
+    def record_silence(self, vm_id: str, now_s: float) -> None:
+        """Record that nothing came back through a VM; its server may be silent, too."""
+        helper = self._find(vm_id)
+        helper.paused_until_s = max(helper.paused_until_s, now_s + HELPER_PAUSE_S_MIN)
+
     def record_opened(self, vm_id: str) -> None:
         """Count a connection through a VM."""
         self._find(vm_id).connections += 1
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
@@ -259,6 +259,7 @@
             return None
         is_answered = False
         is_kept = False
+        sent_at_s = self._clock.read_monotonic_s()
         try:
             is_kept = await self._async_check(service, server, connection)
             is_answered = True
@@ -269,7 +270,9 @@
         finally:
             if not is_kept:
                 self._pool.discard(connection)
-            if not is_answered and connection.helper_id:
+            waited_s = self._clock.read_monotonic_s() - sent_at_s
+            is_silent = not is_answered and waited_s >= LOAD_PROBE_TIMEOUT_S
+            if is_silent and connection.helper_id:
                 self._dialer.record_silent(connection.helper_id)
         return connection if is_kept else None
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/dialer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/dialer.py
@@ -124,8 +124,7 @@
 
     def record_silent(self, helper_id: str) -> None:
         """Record that nothing came back through another VM."""
-        now_s = self._clock.read_monotonic_s()
-        self._helpers.record_failure(helper_id, now_s)
+        self._helpers.record_silence(helper_id, self._clock.read_monotonic_s())
 
     async def async_try_directly(self) -> None:
         """Try servers directly that are reached through others, until cancelled."""
--- a/tests/cardamomtack/reach/test_helpers.py
+++ b/tests/cardamomtack/reach/test_helpers.py
@@ -57,6 +57,13 @@
         chosen = {helpers.choose(set(), 0.6).vm_id for _ in range(200)}
         self.assertIn(paused.vm_id, chosen)
 
+    def test_silent_servers_keep_all_vms_from_helping(self):
+        helpers = make_table(9)
+        for number in range(1, 8):
+            helpers.record_silence(f"vm-{number:03}", 0.0)
+        self.assertEqual(helpers.choose(set(), 0.0).vm_id, "vm-008")
+        self.assertTrue(helpers.can_help(0.0))
+
     def test_callers_wait_while_all_vms_are_asked_in_turn(self):
         helpers = make_table(300)
         for number in range(4):
--- a/tests/cardamomtack/reach/test_ways.py
+++ b/tests/cardamomtack/reach/test_ways.py
@@ -46,7 +46,7 @@
 
     def cut(self):
         """Have the VM find out that it is cut off from zone a."""
-        for number in (0, 1):
+        for number in range(3):
             self.ways.record_failed_open(self.find(f"a-{number}"))
 
     def test_one_server_that_is_down_is_taken_for_a_cut(self):
@@ -57,6 +57,13 @@
         self.assertFalse(self.ways.is_helped(self.find("a-0")))
         self.assertEqual(self.changes.told, [])
 
+    def test_two_servers_that_are_down_are_taken_for_a_cut(self):
+        for _ in range(20):
+            for number in (0, 1):
+                self.ways.record_failed_open(self.find(f"a-{number}"))
+            self.clock.advance(0.3)
+        self.assertFalse(self.ways.is_helped(self.find("a-0")))
+
     def test_failures_among_connections_that_open_are_taken_for_a_cut(self):
         for number in range(SERVERS - 1):
             self.ways.record_failed_open(self.find(f"a-{number}"))
@@ -94,7 +101,7 @@
 
     def test_servers_that_others_do_not_reach_either_are_taken_for_cut_off(self):
         self.cut()
-        for number in (0, 1):
+        for number in range(3):
             self.ways.record_down(self.find(f"a-{number}"))
         self.assertFalse(self.ways.is_cut(self.find("a-0")))
         self.cut()
