--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/const.py
@@ -4,7 +4,7 @@
 
 CHUNK_LENGTH_BYTES: Final = 4
 CLOSE_TIMEOUT_S: Final = 1.0
-"""For how long an asker may take the last bytes of a connection that has ended."""
+"""For how long a peer may take the last bytes of a connection that has ended."""
 
 CONNECT_TIMEOUT_S: Final = 0.25
 HELPERS_ASKED_MAX: Final = 2
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
@@ -44,10 +44,10 @@
 class _Tunnel:
     """One connection of another VM to a server."""
 
-    __slots__ = ("_asker", "_lock", "_server")
+    __slots__ = ("_lock", "_peer", "_server")
 
-    def __init__(self, asker: SocketStream, server: SocketStream) -> None:
-        self._asker = asker
+    def __init__(self, peer: SocketStream, server: SocketStream) -> None:
+        self._peer = peer
         self._lock = Lock()
         self._server = server
 
@@ -57,7 +57,7 @@
             tasks.start_soon(self._async_pass_answers)
             try:
                 while True:
-                    await self._server.send(await self._asker.receive())
+                    await self._server.send(await self._peer.receive())
             except STREAM_ERRORS:
                 # The VM has closed, or the server takes nothing more.
                 tasks.cancel_scope.cancel()
@@ -90,7 +90,7 @@
     async def _async_send(self, length: int, data: bytes) -> None:
         """Send a chunk to the other VM."""
         async with self._lock:
-            await self._asker.send(length.to_bytes(CHUNK_LENGTH_BYTES, "big") + data)
+            await self._peer.send(length.to_bytes(CHUNK_LENGTH_BYTES, "big") + data)
 
 
 class TunnelServer:
@@ -133,7 +133,7 @@
         listener = await create_tcp_listener(local_host=address, local_port=port)
         async with listener:
             task_status.started()
-            await listener.serve(self._async_serve_asker)
+            await listener.serve(self._async_serve_peer)
 
     async def async_leave(self) -> None:
         """Have the other VMs begin nothing new on their connections."""
@@ -142,14 +142,14 @@
             for tunnel in self._tunnels:
                 tasks.start_soon(tunnel.async_tell_leaving)
 
-    async def _async_serve_asker(self, asker: SocketStream) -> None:
+    async def _async_serve_peer(self, peer: SocketStream) -> None:
         """Serve one connection of another VM."""
-        messages = MessageStream(asker, TunnelMessage)
+        messages = MessageStream(peer, TunnelMessage)
         try:
-            async with asker:
+            async with peer:
                 message = await messages.async_receive(REQUEST_TIMEOUT_S)
                 if message.open is not None:
-                    await self._async_open(message.open, asker, messages)
+                    await self._async_open(message.open, peer, messages)
         except* STREAM_ERRORS as group:
             error = repr(group.exceptions[0])
             logger.bind(error=error).debug("connection for another VM ended")
@@ -157,7 +157,7 @@
     async def _async_open(
         self,
         wanted: TunnelOpen,
-        asker: SocketStream,
+        peer: SocketStream,
         messages: MessageStream[TunnelMessage],
     ) -> None:
         """Open a connection to a server and pass bytes on while it lasts."""
@@ -166,7 +166,7 @@
         if server is None:
             await messages.async_send_frame(encode_frame(message))
             return
-        tunnel = _Tunnel(asker, server)
+        tunnel = _Tunnel(peer, server)
         self._tunnels.add(tunnel)
         try:
             async with server:
