--- a/packages/cardamomtack/src/cardamomtack/reach/helpers.py
+++ b/packages/cardamomtack/src/cardamomtack/reach/helpers.py
@@ -14,15 +14,18 @@
 from cardamomtack.replicas.members import MemberTable
 
 CHOICES = 2
+FAILURES_MAX = 2
+"""After how many failures in a row a VM no longer counts as one that has helped."""
 
 
 class _Helper:
     """What is known of one VM as a helper."""
 
-    __slots__ = ("connections", "has_helped", "pause_s", "paused_until_s")
+    __slots__ = ("connections", "failures", "has_helped", "pause_s", "paused_until_s")
 
     def __init__(self) -> None:
         self.connections = 0
+        self.failures = 0
         self.has_helped = False
         self.pause_s = 0.0
         self.paused_until_s = 0.0
@@ -61,25 +64,28 @@
         """
         if now_s < self._in_vain_until_s:
             return None
-        able = [
+        others = [
             member
             for member in self._members.list_members()[1:]
-            if member.tunnel_port
-            and member.vm_id not in excluded
-            and self._find(member.vm_id).paused_until_s <= now_s
+            if member.tunnel_port and member.vm_id not in excluded
         ]
-        if not able:
-            return None
+        able = [one for one in others if self._is_rested(one.vm_id, now_s)]
         known = [one for one in able if self._find(one.vm_id).has_helped]
         if excluded and known:
             able = known
+        if not able:
+            # Silence may be that of a server, so it takes the last helpers from nobody.
+            able = [one for one in others if self._find(one.vm_id).has_helped]
+        if not able:
+            return None
         drawn = self._random.sample(able, min(CHOICES, len(able)))
         return min(drawn, key=self._compute_share)
 
     def can_help(self, now_s: float) -> bool:
         """Return whether a VM could be asked now."""
         return now_s >= self._in_vain_until_s and any(
-            one.tunnel_port and self._find(one.vm_id).paused_until_s <= now_s
+            one.tunnel_port
+            and (self._find(one.vm_id).has_helped or self._is_rested(one.vm_id, now_s))
             for one in self._members.list_members()[1:]
         )
 
@@ -91,6 +97,7 @@
         """Record that a VM has reached a server, or was refused by it."""
         self._in_vain = 0
         helper = self._find(vm_id)
+        helper.failures = 0
         helper.has_helped = True
         helper.pause_s = 0.0
 
@@ -101,7 +108,9 @@
             HELPER_PAUSE_S_MAX, max(HELPER_PAUSE_S_MIN, 2.0 * helper.pause_s)
         )
         helper.paused_until_s = now_s + helper.pause_s
-        helper.has_helped = False
+        helper.failures += 1
+        if helper.failures >= FAILURES_MAX:
+            helper.has_helped = False
         if any(one.has_helped for one in self._helpers.values()):
             return
         self._in_vain += 1
@@ -123,6 +132,10 @@
         """Count a connection through a VM that has ended."""
         self._find(vm_id).connections -= 1
 
+    def _is_rested(self, vm_id: str, now_s: float) -> bool:
+        """Return whether a VM is not passed over."""
+        return self._find(vm_id).paused_until_s <= now_s
+
     def _compute_share(self, member: Member) -> float:
         """Return the connections through a VM for each Mbit/s of its link."""
         connections = self._find(member.vm_id).connections + 1
--- a/tests/cardamomtack/reach/test_helpers.py
+++ b/tests/cardamomtack/reach/test_helpers.py
@@ -74,6 +74,18 @@
         self.assertFalse(helpers.can_help(0.0))
         self.assertTrue(helpers.can_help(0.6))
 
+    def test_silent_server_takes_the_only_helper_away(self):
+        helpers = make_table(2)
+        helpers.record_help("vm-001")
+        helpers.record_silence("vm-001", 0.0)
+        self.assertTrue(helpers.can_help(0.0))
+        self.assertEqual(helpers.choose(set(), 0.0).vm_id, "vm-001")
+        helpers.record_failure("vm-001", 0.0)
+        self.assertTrue(helpers.can_help(0.0))
+        helpers.record_failure("vm-001", 0.0)
+        self.assertIsNone(helpers.choose(set(), 0.1))
+        self.assertFalse(helpers.can_help(0.1))
+
     def test_one_vm_that_helps_is_lost_among_many_that_can_not(self):
         helpers = make_table(13)
         helpers.record_help("vm-007")
