Keep no more messages for a VM that takes nothing

Why this fixes it: beyond the bound what waits is dropped and nothing more is kept; the stream ends as soon as the link takes something.

Evidence: test_messages_to_a_vm_that_takes_nothing_pile_up fails before and passes.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/outbox.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/outbox.py
@@ -55,8 +55,11 @@
 
     def add_frame(self, frame: bytes) -> None:
         """Add an encoded message; a VM that takes nothing is given up."""
-        self._frames.append(frame)
-        self._is_closed = self._is_closed or len(self._frames) > OUTBOX_MAX
+        if len(self._frames) >= OUTBOX_MAX:
+            self._is_closed = True
+            self._frames.clear()
+        if not self._is_closed:
+            self._frames.append(frame)
         self._wake.set()
 
     def mark_news(self) -> None:
