--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/dialer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/dialer.py
@@ -156,7 +156,8 @@
         Raises
         ------
         ServerUnreachableError
-            When no VM that was asked has one; refused when the last one was refused.
+            When no VM that was asked has one; refused when one of them was, and none
+            is cut off from the server, too.
         """
         wanted = TunnelOpen(server.vm_id, server.address, server.port)
         asked: set[str] = set()
