--- a/review/2/case.py
+++ b/review/2/case.py
@@ -137,13 +137,13 @@
     store = Store()
     await store.async_start()
     route = build_path("book", "/book/", "desk", "non_idempotent", 2.0, 0.8)
-    await store.async_write("keyed.op", "config", build_configuration([route], ["desk"], 7))
+    await store.async_write(
+        "keyed.op", "config", build_configuration([route], ["desk"], 7)
+    )
     servers: list[LeavingBackend] = []
 
     async def start_server() -> None:
-        server = LeavingBackend(
-            f"i-{len(servers)}", "desk", record, tells_load=False
-        )
+        server = LeavingBackend(f"i-{len(servers)}", "desk", record, tells_load=False)
         servers.append(server)
         await server.async_start()
         await store.async_write("keyed.servers", server.server_id, server.build_entry())
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -140,9 +140,7 @@
         await writer.drain()
 
 
-async def async_send(
-    daemon: Daemon, path: str, request_id: str
-) -> str:
+async def async_send(daemon: Daemon, path: str, request_id: str) -> str:
     """Send a request on a new connection; return the first line of its answer."""
     reader, writer = await asyncio.open_connection(
         daemon.address, daemon.ports["front"]
@@ -160,7 +158,9 @@
     return first
 
 
-async def async_call_always(name: str, daemon: Daemon, statuses: dict[str, int]) -> None:
+async def async_call_always(
+    name: str, daemon: Daemon, statuses: dict[str, int]
+) -> None:
     """Book all the time."""
     number = 0
     while True:
@@ -197,7 +197,9 @@
         build_path("book", "/book/", "desk", "non_idempotent", 2.0, 1.0),
         build_path("order", "/order/", "desk", "non_idempotent", 2.0, 1.0),
     ]
-    await store.async_write("keyed.op", "config", build_configuration(routes, ["desk"], 7))
+    await store.async_write(
+        "keyed.op", "config", build_configuration(routes, ["desk"], 7)
+    )
     episodes = {f"/order/{one}": Episode(f"/order/{one}") for one in range(EPISODES)}
     for number in range(SERVERS):
         await FragileBackend(number, record, store, episodes).async_start()
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -113,7 +113,9 @@
         backend = IntakeBackend(f"i-{number}", "intake", record, SLOTS)
         backends.append(backend)
         await backend.async_start()
-        await store.async_write("keyed.servers", backend.server_id, backend.build_entry())
+        await store.async_write(
+            "keyed.servers", backend.server_id, backend.build_entry()
+        )
     daemon = Daemon("edge-a-0", "127.0.0.2", choose_ports(1), store)
     daemons.append(daemon)
     daemon.start()
@@ -124,14 +126,21 @@
         await async_call(daemon, record, path, f"first-{number}", LARGE_BYTES, False)
     for turn in range(ROUNDS):
         calls = [
-            async_call(daemon, record, f"/book/{turn}/{number}", f"b{turn}-{number}", 10, False)
+            async_call(
+                daemon, record, f"/book/{turn}/{number}", f"b{turn}-{number}", 10, False
+            )
             for number in range(BACKENDS * SLOTS)
         ]
         busy = [asyncio.create_task(call) for call in calls]
         await asyncio.sleep(0.3)
         calls = [
             async_call(
-                daemon, record, f"/upload/{turn}/{kind}/{number}", f"{kind}{turn}-{number}", size, has_trouble
+                daemon,
+                record,
+                f"/upload/{turn}/{kind}/{number}",
+                f"{kind}{turn}-{number}",
+                size,
+                has_trouble,
             )
             for kind, size in (("small", SMALL_BYTES), ("large", LARGE_BYTES))
             for number in range(UPLOADS)
@@ -140,7 +149,9 @@
         await asyncio.gather(*busy)
         await asyncio.sleep(1.5)
     late = sum(backend.late for backend in backends)
-    record.write(f"{late} requests were sent on over {GONE_S} s after their callers left")
+    record.write(
+        f"{late} requests were sent on over {GONE_S} s after their callers left"
+    )
     return late > A_FEW
 
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -420,13 +420,15 @@
     """Run a case and end with its exit code: 1 broken, 0 held, 2 can't run."""
     record = Record(folder)
     daemons: list[Daemon] = []
+    code = 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(code))
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"begin, {'with' if has_trouble else 'without'} the disruption")
     try:
         is_broken = asyncio.run(_async_bound(main(record, daemons, has_trouble)))
         code = 1 if is_broken else 0
-    except (CannotRunError, OSError, TimeoutError) as error:
-        record.write(f"the case can't run: {error}")
+    except Exception as error:
+        record.write(f"the case can't run: {error!r}")
         code = 2
     finally:
         for one in daemons:
