--- a/review/4/case.py
+++ b/review/4/case.py
@@ -36,7 +36,9 @@
 ROUNDS = 4
 SLOTS = 6
 SMALL_BYTES = 30_000
-UPLOADS = 4
+LARGE_UPLOADS = 4
+SMALL_UPLOADS = 1
+STAYING_UPLOADS = 2
 WARM_UP_UPLOADS = 20
 
 left_at_s: dict[str, float] = {}
@@ -133,6 +135,10 @@
         ]
         busy = [asyncio.create_task(call) for call in calls]
         await asyncio.sleep(0.3)
+        # Five of nineteen callers leave; two more uploads wait for their answers.
+        uploads = [("large", LARGE_BYTES, has_trouble)] * LARGE_UPLOADS
+        uploads += [("small", SMALL_BYTES, has_trouble)] * SMALL_UPLOADS
+        uploads += [("staying", SMALL_BYTES, False)] * STAYING_UPLOADS
         calls = [
             async_call(
                 daemon,
@@ -140,10 +146,9 @@
                 f"/upload/{turn}/{kind}/{number}",
                 f"{kind}{turn}-{number}",
                 size,
-                has_trouble,
+                leaves,
             )
-            for kind, size in (("small", SMALL_BYTES), ("large", LARGE_BYTES))
-            for number in range(UPLOADS)
+            for number, (kind, size, leaves) in enumerate(uploads)
         ]
         await asyncio.gather(*calls)
         await asyncio.gather(*busy)
