End the requests of callers that leave while their connections are not read

Cause: past 64 KiB of a body that no server takes, the connection of the caller is paused, also once the whole body is there, and the event loop sees an end only of what it reads.

Fix: until a server takes it, a body is read on as far as memory is reserved for it, at most 1 MiB, as an end is seen only behind what was sent before it; a whole body no longer holds its connection up; what must wait all the same is looked at with poll each 0.1 s, which tells a close or a reset without reading.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/body.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/body.py
@@ -18,6 +18,12 @@
 READ_BYTES_MAX = 262_144
 """Most that the event loop reads of a connection at once."""
 
+WAITING_BYTES_MAX = 1_048_576
+"""What may arrive of a long body that no server takes yet.
+
+The end of a connection is only seen behind all that its caller has sent.
+"""
+
 
 class BodyAbortedError(Exception):
     """The rest of a body will not arrive."""
@@ -71,10 +77,18 @@
 class BodyStream:
     """The rest of a long body of one caller.
 
+    Until its first part is taken it arrives as far as there is memory for it.
+
     Parameters
     ----------
-    pause, resume : callable
-        Have the connection of the caller wait, and go on.
+    memory : BodyMemory
+        Bounds what is held.
+    reserved_bytes : int
+        What is reserved for the request already.
+    length : int or None
+        Length of the body, in bytes; None while it is not known.
+    update_reading : callable
+        Has the connection of the caller read on or wait, by `is_full`.
 
     Attributes
     ----------
@@ -84,36 +98,56 @@
 
     __slots__ = (
         "_chunks",
+        "_extra_bytes",
         "_is_aborted",
         "_is_discarding",
-        "_is_paused",
-        "_pause",
-        "_resume",
+        "_is_taken",
+        "_length",
+        "_memory",
+        "_reserved_bytes",
         "_size",
+        "_update_reading",
         "_waiter",
         "has_ended",
     )
 
-    def __init__(self, pause: Callable[[], None], resume: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        memory: BodyMemory,
+        reserved_bytes: int,
+        length: int | None,
+        update_reading: Callable[[], None],
+    ) -> None:
         self._chunks: deque[bytes] = deque()
+        self._extra_bytes = 0
         self._is_aborted = False
         self._is_discarding = False
-        self._is_paused = False
-        self._pause = pause
-        self._resume = resume
+        self._is_taken = False
+        self._length = length
+        self._memory = memory
+        self._reserved_bytes = reserved_bytes
         self._size = 0
+        self._update_reading = update_reading
         self._waiter: Future[None] | None = None
         self.has_ended = False
 
+    def is_full(self) -> bool:
+        """Return whether the caller has to wait before it sends more."""
+        if self._size <= BODY_WINDOW_BYTES or self._is_discarding:
+            return False
+        if self._is_taken or self._size >= WAITING_BYTES_MAX:
+            return True
+        wanted_bytes = self._size + READ_BYTES_MAX
+        if self._length is not None:
+            wanted_bytes = min(wanted_bytes, self._length)
+        return not self._reserve(wanted_bytes)
+
     def feed(self, chunk: bytes) -> None:
         """Take a part that has arrived."""
         if self._is_discarding:
             return
         self._chunks.append(chunk)
         self._size += len(chunk)
-        if self._size > BODY_WINDOW_BYTES and not self._is_paused:
-            self._is_paused = True
-            self._pause()
         self._wake()
 
     def finish(self) -> None:
@@ -131,7 +165,8 @@
         self._is_discarding = True
         self._chunks.clear()
         self._size = 0
-        self._go_on()
+        self._release()
+        self._update_reading()
 
     async def async_receive_more(self) -> bytes | None:
         """Return the next part of the body, or None after its end.
@@ -141,14 +176,15 @@
         BodyAbortedError
             When the rest will not arrive.
         """
+        self._is_taken = True
         while not self._chunks:
             await self._async_wait()
             if self.has_ended and not self._chunks:
                 return None
         chunk = self._chunks.popleft()
         self._size -= len(chunk)
-        if self._size <= BODY_WINDOW_BYTES:
-            self._go_on()
+        self._release()
+        self._update_reading()
         return chunk
 
     async def async_wait_for_end(self) -> None:
@@ -180,11 +216,23 @@
         finally:
             self._waiter = None
 
-    def _go_on(self) -> None:
-        """Let the caller send on."""
-        if self._is_paused:
-            self._is_paused = False
-            self._resume()
+    def _reserve(self, size: int) -> bool:
+        """Return whether so many bytes may be held, and reserve what is missing."""
+        missing = size - self._reserved_bytes - self._extra_bytes
+        if missing <= 0:
+            return True
+        if not self._memory.reserve(missing):
+            return False
+        self._extra_bytes += missing
+        return True
+
+    def _release(self) -> None:
+        """Give back what is not needed for what is held."""
+        surplus = self._reserved_bytes + self._extra_bytes - self._size
+        surplus = min(self._extra_bytes, surplus)
+        if surplus > 0:
+            self._extra_bytes -= surplus
+            self._memory.release(surplus)
 
     def _wake(self) -> None:
         """Wake the task that waits."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
@@ -22,6 +22,7 @@
     BodyMemory,
     BodyStream,
 )
+from cardamomtack_daemon.http1.hangups import HangupWatcher
 from cardamomtack_daemon.http1.messages import (
     HeaderList,
     HttpAnswer,
@@ -51,6 +52,10 @@
 class ConnectionOwner(Protocol):
     """Takes new connections."""
 
+    @property
+    def hangups(self) -> HangupWatcher:
+        """Return what watches connections that are not read."""
+
     def add_connection(self, connection: CallerConnection) -> None:
         """Have the requests of a new connection answered."""
 
@@ -139,11 +144,13 @@
         "_body_size",
         "_can_write",
         "_clock",
+        "_descriptor",
         "_has_head",
         "_has_request",
         "_head_size",
         "_headers",
         "_is_lost",
+        "_is_unread",
         "_limits",
         "_owner",
         "_parser",
@@ -167,6 +174,7 @@
         self._began_at_s = 0.0
         self._body_size = 0
         self._clock = clock
+        self._descriptor = -1
         self._has_head = False
         self._has_request = False
         self._head_size = 0
@@ -176,6 +184,7 @@
         self._can_write: Future[None] | None = None
         self._headers: HeaderList = []
         self._is_lost = False
+        self._is_unread = False
         self._parser = HttpRequestParser(self)
         self._ready: deque[HttpRequest] = deque()
         self._reserved_bytes: deque[int] = deque()
@@ -198,6 +207,7 @@
     def connection_made(self, transport: BaseTransport) -> None:
         """Keep the transport and have the requests answered."""
         self._transport = cast("Transport", transport)
+        self._descriptor = transport.get_extra_info("socket").fileno()
         self._owner.add_connection(self)
 
     def data_received(self, data: bytes) -> None:
@@ -215,14 +225,14 @@
             self._refuse(400, f"malformed request: {error}")
         if not self._has_head and self._size > self._limits.head_bytes_max:
             self._refuse(431, "head of the request is too large")
-        if len(self._ready) >= PIPELINED_MAX and self._transport is not None:
-            self._transport.pause_reading()
+        self.update_reading()
         if self._ready or self.refusal is not None:
             self._wake()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Note that the connection is gone."""
         self._is_lost = True
+        self._owner.hangups.remove(self._descriptor)
         self._wake()
         self.resume_writing()
         if self._stream is not None:
@@ -285,8 +295,14 @@
             self._stream.feed(chunk)
             return
         self._body.append(chunk)
-        if self._body_size > BODY_WINDOW_BYTES and self._limits.memory is not None:
-            self._stream = BodyStream(self._pause_reading, self._resume_reading)
+        memory = self._limits.memory
+        if self._body_size > BODY_WINDOW_BYTES and memory is not None:
+            self._stream = BodyStream(
+                memory,
+                self._reserved_bytes[-1],
+                self._read_length(),
+                self.update_reading,
+            )
             self._hand_on(self._stream)
 
     def on_message_complete(self) -> None:
@@ -357,7 +373,11 @@
         """
         self.waits_since_s = clock.read_monotonic_s()
         self.has_answered = False
-        while not self._ready:
+        while True:
+            if self._is_lost and self._limits.cancels_abandoned:
+                raise CallerGoneError
+            if self._ready:
+                break
             if self._is_lost:
                 raise CallerGoneError
             if self.refusal is not None:
@@ -368,9 +388,8 @@
             finally:
                 self._waiter = None
         self.waits_since_s = None
-        if len(self._ready) == PIPELINED_MAX and self._transport is not None:
-            self._transport.resume_reading()
         request = self._ready.popleft()
+        self.update_reading()
         self._taken = cast("BodyStream | None", request.rest)
         return request
 
@@ -418,6 +437,9 @@
 
     def end_all(self) -> None:
         """Give back what all requests of the connection held."""
+        for request in self._ready:
+            if isinstance(request.rest, BodyStream):
+                request.rest.discard()
         while self._reserved_bytes:
             self.end_request()
 
@@ -474,14 +496,19 @@
                 self._ready.pop()
         self.refusal = build_problem(status, detail, outcome, retry_after_s)
 
-    def _pause_reading(self) -> None:
-        """Have the caller wait."""
-        if self._transport is not None and not self._is_lost:
+    def update_reading(self) -> None:
+        """Have the caller wait while enough of it is held, or let it send on."""
+        is_full = len(self._ready) >= PIPELINED_MAX or (
+            self._stream is not None and self._stream.is_full()
+        )
+        if is_full == self._is_unread or self._transport is None or self._is_lost:
+            return
+        self._is_unread = is_full
+        if is_full:
             self._transport.pause_reading()
-
-    def _resume_reading(self) -> None:
-        """Let the caller send on."""
-        if self._transport is not None and not self._is_lost:
+            self._owner.hangups.add(self._descriptor, self._transport.abort)
+        else:
+            self._owner.hangups.remove(self._descriptor)
             self._transport.resume_reading()
 
     def _wake(self) -> None:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
@@ -16,6 +16,7 @@
     CallerGoneError,
     ConnectionLimits,
 )
+from cardamomtack_daemon.http1.hangups import HangupWatcher
 from cardamomtack_daemon.http1.messages import (
     HttpAnswer,
     HttpRequest,
@@ -60,6 +61,8 @@
 
     Attributes
     ----------
+    hangups : HangupWatcher
+        Watches the connections that are not read at the moment.
     is_closing : bool
         Whether connections are closed after their current request.
     refused : int
@@ -72,6 +75,7 @@
         "_handler",
         "_limits",
         "_tasks",
+        "hangups",
         "is_closing",
         "refused",
     )
@@ -84,6 +88,7 @@
         self._handler = handler
         self._limits = limits
         self._tasks: TaskGroup | None = None
+        self.hangups = HangupWatcher()
         self.is_closing = False
         self.refused = 0
 
@@ -106,6 +111,8 @@
                 self._make_connection, address, port, backlog=BACKLOG
             )
             task_status.started()
+            if self._limits.cancels_abandoned:
+                tasks.start_soon(self.hangups.async_watch)
             try:
                 await self._async_close_idle()
             finally:
--- a/tests/cardamomtack_daemon/forwarding/test_helped_vm.py
+++ b/tests/cardamomtack_daemon/forwarding/test_helped_vm.py
@@ -7,6 +7,7 @@
 import anyio
 
 from tests.cardamomtack_daemon.forwarding import (
+    test_abandoned_uploads,
     test_answers,
     test_cut_heads,
     test_demands,
@@ -76,6 +77,14 @@
         anyio.run(run, backend_options={"use_uvloop": True})
 
 
+class HelpedAbandonedUploadTest(HelpedPlay, test_abandoned_uploads.AbandonedUploadTest):
+    """Callers that leave while their requests wait."""
+
+
+class HelpedSlowServerTest(HelpedPlay, test_abandoned_uploads.SlowServerTest):
+    """Callers that leave while a server takes their bodies slowly."""
+
+
 class HelpedAnswerTest(HelpedPlay, test_answers.AnswerTest):
     """Answers of all kinds."""
 
