End a tunnel whose VM has left while the server takes nothing

A VM that helps another one reads a tunnel only after the server has taken what came before.

Fix: the tunnel is watched with poll while the server is waited for.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
@@ -18,13 +18,14 @@
     move_on_after,
     sleep,
 )
-from anyio.abc import SocketStream, TaskStatus
+from anyio.abc import SocketAttribute, SocketStream, TaskStatus
 from loguru import logger
 
 from cardamomtack.discovery.registry import ServerRegistry
 from cardamomtack.generated.tunnel import TunnelAnswer, TunnelMessage, TunnelOpen
 from cardamomtack.placing.server import ServerView
 from cardamomtack.reach.ways import DirectWays
+from cardamomtack_daemon.http1.hangups import HangupWatcher
 from cardamomtack_daemon.peers.stream import (
     STREAM_ERRORS,
     MessageStream,
@@ -44,9 +45,12 @@
 class _Tunnel:
     """One connection of another VM to a server."""
 
-    __slots__ = ("_lock", "_peer", "_server")
+    __slots__ = ("_hangups", "_lock", "_peer", "_server")
 
-    def __init__(self, peer: SocketStream, server: SocketStream) -> None:
+    def __init__(
+        self, peer: SocketStream, server: SocketStream, hangups: HangupWatcher
+    ) -> None:
+        self._hangups = hangups
         self._peer = peer
         self._lock = Lock()
         self._server = server
@@ -55,12 +59,19 @@
         """Pass bytes on both ways until either end closes."""
         async with create_task_group() as tasks:
             tasks.start_soon(self._async_pass_answers)
+            peer = self._peer.extra(SocketAttribute.raw_socket).fileno()
             try:
                 while True:
-                    await self._server.send(await self._peer.receive())
+                    data = await self._peer.receive()
+                    # While the server takes nothing, the VM is not read.
+                    self._hangups.add(peer, tasks.cancel_scope.cancel)
+                    await self._server.send(data)
+                    self._hangups.remove(peer)
             except STREAM_ERRORS:
                 # The VM has closed, or the server takes nothing more.
                 tasks.cancel_scope.cancel()
+            finally:
+                self._hangups.remove(peer)
 
     async def async_tell_leaving(self) -> None:
         """Tell the other VM that nothing new may begin on this connection."""
@@ -109,9 +120,10 @@
         Whether this VM leaves and takes no more connections.
     """
 
-    __slots__ = ("_registry", "_tunnels", "_ways", "is_leaving")
+    __slots__ = ("_hangups", "_registry", "_tunnels", "_ways", "is_leaving")
 
     def __init__(self, registry: ServerRegistry, ways: DirectWays) -> None:
+        self._hangups = HangupWatcher()
         self._registry = registry
         self._tunnels: set[_Tunnel] = set()
         self._ways = ways
@@ -131,7 +143,8 @@
     ) -> None:
         """Serve other VMs until cancelled; started once it listens."""
         listener = await create_tcp_listener(local_host=address, local_port=port)
-        async with listener:
+        async with listener, create_task_group() as tasks:
+            tasks.start_soon(self._hangups.async_watch)
             task_status.started()
             await listener.serve(self._async_serve_peer)
 
@@ -166,7 +179,7 @@
         if server is None:
             await messages.async_send_frame(encode_frame(message))
             return
-        tunnel = _Tunnel(peer, server)
+        tunnel = _Tunnel(peer, server, self._hangups)
         self._tunnels.add(tunnel)
         try:
             async with server:
