--- a/packages/cardamomtack/src/cardamomtack/discovery/registry.py
+++ b/packages/cardamomtack/src/cardamomtack/discovery/registry.py
@@ -9,6 +9,8 @@
 
 from collections.abc import Callable
 
+from loguru import logger
+
 from cardamomtack.discovery.const import HOLD_LAPSED_S
 from cardamomtack.discovery.entry import ServerEntry
 from cardamomtack.helpers.clock import Clock
@@ -62,7 +64,10 @@
 
     def mark_source_unavailable(self) -> None:
         """Note that the source of the entries can't be read at the moment."""
-        self._trouble_until_s = self._clock.read_monotonic_s() + HOLD_LAPSED_S
+        now_s = self._clock.read_monotonic_s()
+        if now_s >= self._trouble_until_s:
+            logger.info("removed entries are held, their source can't be read")
+        self._trouble_until_s = now_s + HOLD_LAPSED_S
 
     def apply_entry(self, entry: ServerEntry) -> None:
         """Take an entry; one that its server wrote before the known one is not."""
@@ -90,6 +95,7 @@
         if now_s < self._trouble_until_s and not server.entry.is_draining:
             # Entries lapse with their source; those of live servers soon come back.
             self._held.setdefault(server_id, now_s + HOLD_LAPSED_S)
+            logger.bind(server=server_id).info("entry is gone, server held")
             return
         self._remove(server)
 
@@ -106,6 +112,7 @@
     def _remove(self, server: ServerView) -> None:
         """Remove a server."""
         del self.servers[server.entry.server_id]
+        logger.bind(server=server.entry.server_id).info("server removed")
         self._held.pop(server.entry.server_id, None)
         self.find_service(server.entry.service).remove_member(server)
         server.is_removed = True
--- a/tests/cardamomtack_daemon/replicas/test_large_configuration.py
+++ b/tests/cardamomtack_daemon/replicas/test_large_configuration.py
@@ -6,15 +6,12 @@
 
 import anyio
 
-from cardamomtack.generated.relay import Member
-from cardamomtack_standins.fleet import find_free_ports
 from tests.cardamomtack_daemon.forwarding.memory import ROUTES
-from tests.cardamomtack_daemon.replicas.links import SmallLink
+from tests.cardamomtack_daemon.replicas.links import LinkedFleet
 from tests.cardamomtack_daemon.replicas.routes import describe_routes
 from tests.cardamomtack_daemon.replicas.test_fleet import (
     APPLY_S,
     ONLY_READ,
-    RelayFleet,
 )
 
 LINK_BYTES_PER_S = 625_000.0
@@ -24,21 +21,13 @@
 VMS = 9
 
 
-class LinkedFleet(RelayFleet):
-    """VMs whose relays are reached over small links."""
+class SmallLinkFleet(LinkedFleet):
+    """VMs with small links and long configurations."""
 
     def __init__(self, count: int, routes_idle: int) -> None:
-        super().__init__(count)
+        super().__init__(count, LINK_BYTES_PER_S)
         self.vms[0].codec.padding = describe_routes(routes_idle)
-        self.links = []
         for vm in self.vms:
-            own = vm.daemon._members.own
-            (port,) = find_free_ports(1)
-            self.links.append(SmallLink(port, own.port, LINK_BYTES_PER_S))
-            linked = Member(
-                own.vm_id, own.incarnation, own.availability_zone, own.address, port
-            )
-            vm.daemon._members.own = linked
             vm.configuration.link_bytes_per_s = LINK_BYTES_PER_S
 
 
@@ -47,7 +36,7 @@
 
     def test_large_configuration_is_late_over_small_links(self):
         async def run():
-            fleet = LinkedFleet(VMS, ROUTES_IDLE)
+            fleet = SmallLinkFleet(VMS, ROUTES_IDLE)
             async with anyio.create_task_group() as tasks:
                 for link in fleet.links:
                     await tasks.start(link.async_serve)
@@ -64,7 +53,7 @@
 
     def test_change_is_sent_whole_to_every_vm(self):
         async def run():
-            fleet = LinkedFleet(VMS, ROUTES_IDLE)
+            fleet = SmallLinkFleet(VMS, ROUTES_IDLE)
             async with anyio.create_task_group() as tasks:
                 for link in fleet.links:
                     await tasks.start(link.async_serve)
