Hold removed servers only while the store answers nobody

Cause: a VM whose last confirmation was older than 1.5 s took the store for unavailable and held each removed entry for 2.5 s, whatever had made it old. One silent peer was enough: its silence is noticed after 1.1 s, and the last word before it could be up to a second old.

Fix: the store is away when this VM's own reads of the entries fail or are late, and nobody it hears from has confirmed them either. A VM that hears nothing fresh reads for itself, so a frozen peer is told from an outage by the store's own answer; a store that turns away this VM alone is told from an outage by the others' word.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -29,11 +29,7 @@
 from cardamomtack.quarantine.tracker import CrashTracker
 from cardamomtack.reach.helpers import HelperTable
 from cardamomtack.reach.ways import DirectWays
-from cardamomtack.replicas.const import (
-    STALE_AFTER_S,
-    TOPIC_CONFIGURATION,
-    TOPIC_SERVERS,
-)
+from cardamomtack.replicas.const import TOPIC_CONFIGURATION, TOPIC_SERVERS
 from cardamomtack.replicas.members import MemberTable
 from cardamomtack.replicas.topic import RecordOrder, TopicReplica
 from cardamomtack.routing.coordinator import ConfigurationCodec, RoutingCoordinator
@@ -144,6 +140,7 @@
         "_replicas",
         "_routes",
         "_sender",
+        "_servers_reader",
         "_settings",
         "_stopped",
         "_tunnels",
@@ -225,7 +222,7 @@
         )
         for replica in self._replicas:
             replica.add_history_listener(self._membership.mark_restored)
-        self._readers = [
+        configuration_reader, self._servers_reader = (
             TopicReader(
                 replica, source, self._is_reader, self._record_answer, clock, random
             )
@@ -233,7 +230,8 @@
                 (configuration, sources.configuration),
                 (servers, sources.servers),
             )
-        ]
+        )
+        self._readers = [configuration_reader, self._servers_reader]
 
     def _build_traffic(self, names: HeaderNames, random: Random) -> None:
         """Build the path of a request."""
@@ -376,9 +374,8 @@
         """Drop what has grown old."""
         while True:
             await sleep(MAINTENANCE_S)
-            now_s = self._clock.read_boot_s()
             self._share_budgets()
-            if any(one.compute_age_s(now_s) > STALE_AFTER_S for one in self._replicas):
+            if self._servers_reader.is_store_unavailable():
                 self._registry.mark_source_unavailable()
             self._registry.remove_expired()
             self._pool.close_expired()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/const.py
@@ -2,6 +2,9 @@
 
 from typing import Final
 
+ANSWER_DUE_S: Final = 0.3
+"""After how long without an answer a read tells that the store may be away."""
+
 ASK_PAUSE_S: Final = 1.0
 """How often a VM that knows nothing fresh asks another one."""
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/reader.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 from random import Random
 
 from anyio import Event, move_on_after, sleep
@@ -12,6 +13,7 @@
 from cardamomtack.replicas.const import STALE_AFTER_S
 from cardamomtack.replicas.topic import END_UNKNOWN, SOURCE_STORE, TopicReplica
 from cardamomtack_daemon.replicas.const import (
+    ANSWER_DUE_S,
     BACKOFF_S_MAX,
     BACKOFF_S_MIN,
     BATCH_S,
@@ -59,7 +61,9 @@
         "_backoff_s",
         "_clock",
         "_deletions",
+        "_expected_at_s",
         "_is_due",
+        "_is_failing",
         "_is_reader",
         "_must_read_newest",
         "_random",
@@ -84,7 +88,9 @@
         self._backoff_s = BACKOFF_S_MIN
         self._clock = clock
         self._deletions = 0
+        self._expected_at_s = inf
         self._is_due = False
+        self._is_failing = False
         self._is_reader = is_reader
         self._must_read_newest = False
         self._record_answer = record_answer
@@ -115,6 +121,14 @@
                     # Changes that come together are read together.
                     await sleep(BATCH_S)
 
+    def is_store_unavailable(self) -> bool:
+        """Return whether the store answers neither this VM nor those it hears from.
+
+        What is old because another VM fell silent says nothing of the store.
+        """
+        is_late = self._clock.read_boot_s() > self._expected_at_s
+        return (self._is_failing or is_late) and self._is_stale()
+
     async def _async_begin_anew(self, error: RecordsDeletedError) -> None:
         """Read the newest records next, later when that has just been done in vain."""
         self._must_read_newest = True
@@ -132,6 +146,8 @@
         """Begin the next read as the first one: trouble of before says nothing then."""
         self._source.close()
         self._backoff_s = BACKOFF_S_MIN
+        self._expected_at_s = inf
+        self._is_failing = False
         self._timeout_s = READ_TIMEOUT_S
         self._was_answered = False
 
@@ -139,6 +155,10 @@
         """Return whether the topic is read here."""
         if self._is_reader():
             return True
+        return self._is_stale()
+
+    def _is_stale(self) -> bool:
+        """Return whether the store has not confirmed the topic for too long."""
         return self._replica.compute_age_s(self._clock.read_boot_s()) > STALE_AFTER_S
 
     async def _async_read(self) -> bool:
@@ -151,6 +171,7 @@
         """
         self.calls += 1
         sent_at_s = self._clock.read_boot_s()
+        self._expected_at_s = sent_at_s + ANSWER_DUE_S
         if self._replica.end == END_UNKNOWN or self._must_read_newest:
             page = await self._source.async_read_newest(self._timeout_s)
             if (page.history, page.end) < self._replica.position:
@@ -161,6 +182,7 @@
             # After trouble an answer at once tells that the store is back; a read
             # that waits could be lost unnoticed.
             wait_s = POLL_WAIT_S if self._was_answered and not self._is_due else 0.0
+            self._expected_at_s += wait_s
             page = await self._source.async_read_from(
                 self._replica.end, wait_s, self._timeout_s
             )
@@ -184,6 +206,8 @@
             logger.bind(topic=self._replica.topic).info("the store can be read again")
         self._record_answer(True)
         self._backoff_s = BACKOFF_S_MIN
+        self._expected_at_s = inf
+        self._is_failing = False
         self._timeout_s = READ_TIMEOUT_S
         self._was_answered = True
 
@@ -197,6 +221,7 @@
             logger.bind(topic=self._replica.topic, error=str(error)).warning(
                 "the store can't be read"
             )
+        self._is_failing = True
         now_s = self._clock.read_boot_s()
         if self._replica.is_fresh_without(SOURCE_STORE, now_s):
             self._record_answer(False)
--- a/tests/cardamomtack_daemon/replicas/test_reader.py
+++ b/tests/cardamomtack_daemon/replicas/test_reader.py
@@ -11,7 +11,7 @@
 from cardamomtack.helpers.clock import SystemClock
 from cardamomtack.replicas.topic import START_NEWEST, TopicReplica
 from cardamomtack_daemon.replicas.reader import TopicReader
-from cardamomtack_daemon.replicas.source import RecordsDeletedError
+from cardamomtack_daemon.replicas.source import RecordsDeletedError, StoreError
 
 
 class OvertakenSource:
@@ -56,6 +56,57 @@
         pass
 
 
+class FailingSource(DeletingSource):
+    """A store that does not answer, or answers with failures."""
+
+    def __init__(self, is_silent):
+        super().__init__()
+        self.is_silent = is_silent
+
+    async def async_read_newest(self, timeout_s):
+        if self.is_silent:
+            await anyio.sleep_forever()
+        raise StoreError("away")
+
+
+class AvailabilityTest(unittest.TestCase):
+    """Who may say that the store is away."""
+
+    def read_unavailable(self, source, is_reader=True, age_s=None):
+        """Return what a reader says of the store half a second after its start."""
+
+        async def run():
+            clock = SystemClock()
+            replica = TopicReplica("t")
+            if age_s is not None:
+                replica.confirm(clock.read_boot_s() - age_s, "vm-2")
+            reader = TopicReader(
+                replica, source, lambda: is_reader, lambda _: None, clock, Random(1)
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(reader.async_follow)
+                await anyio.sleep(0.5)
+                tasks.cancel_scope.cancel()
+            return reader.is_store_unavailable()
+
+        return anyio.run(run)
+
+    def test_silence_of_another_vm_is_no_outage(self):
+        # Nothing is read yet of what the other VM confirmed last.
+        self.assertFalse(
+            self.read_unavailable(FailingSource(True), is_reader=False, age_s=1.1)
+        )
+
+    def test_failure_of_the_own_reads_alone_is_no_outage(self):
+        for is_silent in (True, False):
+            self.assertFalse(self.read_unavailable(FailingSource(is_silent), age_s=0.0))
+
+    def test_outage_is_one_for_this_vm_and_those_it_hears_from(self):
+        for is_silent in (True, False):
+            self.assertTrue(self.read_unavailable(FailingSource(is_silent)))
+            self.assertTrue(self.read_unavailable(FailingSource(is_silent), age_s=1.1))
+
+
 class ReaderTest(unittest.TestCase):
     """One topic."""
 
