Hold what vanishes around an outage until a fixed time after it

Found by reading beside the commit before: a server whose entry was removed near the end of the span in which entries are held was held 2.5 s from its own removal, so VMs could send to it for over drainS (2 s) though the store had been back for seconds.

Evidence: the new test failed before (removed 2.4 s after the outage, still usable 2 s later).

Fix: held entries end together, 3 s after the last moment of the outage (2.5 s and half a second, as entries were dropped by a look each 0.5 s). Those that lapsed in it still have over two seconds to come back.

--- a/packages/cardamomtack/src/cardamomtack/discovery/const.py
+++ b/packages/cardamomtack/src/cardamomtack/discovery/const.py
@@ -2,5 +2,5 @@
 
 from typing import Final
 
-HOLD_LAPSED_S: Final = 2.5
-"""How long entries that vanish around an outage of their source are held."""
+HOLD_LAPSED_S: Final = 3.0
+"""How long after an outage of their source vanished entries are held."""
--- a/packages/cardamomtack/src/cardamomtack/discovery/registry.py
+++ b/packages/cardamomtack/src/cardamomtack/discovery/registry.py
@@ -43,7 +43,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._held: dict[str, float] = {}
+        self._held: set[str] = set()
         self._listeners: list[Callable[[ServerView], None]] = []
         self._trouble_until_s = 0.0
         self.is_known = False
@@ -76,7 +76,7 @@
         if known is not None:
             if entry.is_older_than(known.entry):
                 return
-            self._held.pop(entry.server_id, None)
+            self._held.discard(entry.server_id)
             if known.matches_entry(entry):
                 known.apply_entry(entry, now_s)
                 return
@@ -94,26 +94,23 @@
         now_s = self._clock.read_monotonic_s()
         if now_s < self._trouble_until_s and not server.entry.is_draining:
             # Entries lapse with their source; those of live servers soon come back.
-            self._held.setdefault(server_id, now_s + HOLD_LAPSED_S)
+            self._held.add(server_id)
             logger.bind(server=server_id).info("entry is gone, server held")
             return
         self._remove(server)
 
     def remove_expired(self) -> None:
         """Remove the servers whose entries have not come back."""
-        now_s = self._clock.read_monotonic_s()
-        if now_s < self._trouble_until_s - HOLD_LAPSED_S:
+        if self._clock.read_monotonic_s() < self._trouble_until_s:
             return
-        for server_id, until_s in list(self._held.items()):
-            if now_s >= until_s:
-                del self._held[server_id]
-                self._remove(self.servers[server_id])
+        for server_id in list(self._held):
+            self._remove(self.servers[server_id])
 
     def _remove(self, server: ServerView) -> None:
         """Remove a server."""
         del self.servers[server.entry.server_id]
         logger.bind(server=server.entry.server_id).info("server removed")
-        self._held.pop(server.entry.server_id, None)
+        self._held.discard(server.entry.server_id)
         self.find_service(server.entry.service).remove_member(server)
         server.is_removed = True
         for listener in self._listeners:
--- a/tests/cardamomtack/discovery/test_registry.py
+++ b/tests/cardamomtack/discovery/test_registry.py
@@ -10,6 +10,9 @@
 from cardamomtack.discovery.registry import ServerRegistry
 from cardamomtack.helpers.clock import ManualClock
 
+DRAIN_S = 2.0
+"""Bound of the users for a server that has left to get no more work, in seconds."""
+
 ENTRY = ServerEntry("s-1", "desk", "10.0.0.1", 80, "zone-a", 4, False, 0.0, 1)
 
 
@@ -84,6 +87,15 @@
         self.registry.remove_expired()
         self.assertEqual(self.list_usable(), [])
 
+    def test_server_that_leaves_after_an_outage_is_held_as_if_it_had_lapsed(self):
+        self.registry.apply_entry(ENTRY)
+        self.registry.mark_source_unavailable()
+        self.clock.advance(HOLD_LAPSED_S - 0.1)
+        self.registry.remove_entry("s-1")
+        self.clock.advance(DRAIN_S)
+        self.registry.remove_expired()
+        self.assertEqual(self.list_usable(), [])
+
     def test_held_entry_that_comes_back_stays(self):
         self.registry.apply_entry(ENTRY)
         self.registry.mark_source_unavailable()
