--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from math import inf
 
+from loguru import logger
+
 from cardamomtack.generated.logs import SendRecord
 from cardamomtack.helpers.clock import MS_PER_S, Clock
 from cardamomtack.placing.chooser import build_send_conditions
@@ -354,7 +356,11 @@
     async def _async_check_crash(self, server: ServerView) -> None:
         """Suspect what a server was running when it has gone down."""
         suspects = list(self._digests.get(server.vm_id, ()))
-        if await self._prober.async_is_down(server):
+        is_down = await self._prober.async_is_down(server)
+        logger.bind(server=server.vm_id, is_down=is_down, suspects=len(suspects)).info(
+            "a server has cut a connection"
+        )
+        if is_down:
             self._record_crash(server, suspects)
 
     def _record_crash(self, server: ServerView, suspects: list[bytes]) -> None:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/dialer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/dialer.py
@@ -180,6 +180,7 @@
                     vm=helper.vm_id, server=server.vm_id, outcome=error.outcome
                 ).debug("server not reached through another VM")
         # A VM that is cut off without knowing it says of one server that it is down.
+        logger.bind(server=server.vm_id, told=told).info("no VM reaches a server")
         is_down = bool(told) and all(
             one in (OUTCOME_REFUSED, OUTCOME_UNREACHABLE) for one in told
         )
--- a/tests/cardamomtack_daemon/forwarding/servers.py
+++ b/tests/cardamomtack_daemon/forwarding/servers.py
@@ -146,6 +146,7 @@
         self.early_script: Script | None = None
         self.body_bytes_max: int | None = None
         self.body_bytes = 0
+        self._listener: anyio.abc.Listener[SocketStream] | None = None
         self._scope = anyio.CancelScope()
 
     def make_entry(self, **changes: object) -> ServerEntry:
@@ -168,18 +169,29 @@
         listener = await anyio.create_tcp_listener(
             local_host="127.0.0.1", local_port=self.port
         )
+        self._listener = listener
         self.port = listener.extra(SocketAttribute.local_port)
         self._scope = anyio.CancelScope()
         with self._scope:
             async with listener:
                 task_status.started()
-                await listener.serve(self._async_serve_connection)
+                try:
+                    await listener.serve(self._async_serve_connection)
+                except* anyio.ClosedResourceError:
+                    # It has crashed; its connections end after its listener.
+                    pass
 
     def stop(self) -> None:
         """End the process: its listener and its connections."""
         self.is_stopped = True
         self._scope.cancel()
 
+    async def async_crash(self) -> None:
+        """End the process; nothing listens when its connections close."""
+        self.is_stopped = True
+        if self._listener is not None:
+            await self._listener.aclose()
+
     async def _async_serve_connection(self, stream: SocketStream) -> None:
         self.connections += 1
         collector = _RequestCollector()
