Settle doubt about a refusing server by connecting to another one

Cause: a crash counts when the server refuses this VM and another one. A VM that had lately failed to connect to some other server of the service and zone answered that it may be cut off itself, and one such answer hid the crash. The server that the same request had crashed before was still down, so each further crash was hidden. After three, the VMs took themselves for cut off, and no VM was asked any more.

Fix: who is refused and in doubt connects to another server beside it. If that accepts, the way is sound, and the refusal is the server's own. One test is shared for 0.25 s. A VM that is cut off from all servers fails that test, and blames nobody.

--- a/packages/cardamomtack/src/cardamomtack/reach/ways.py
+++ b/packages/cardamomtack/src/cardamomtack/reach/ways.py
@@ -136,6 +136,22 @@
         failing = way.failed_opens.keys() | way.silent.keys()
         return way.state is WayState.HELPED or bool(failing - {server.vm_id})
 
+    def list_others(self, server: ServerView) -> list[ServerView]:
+        """Return the servers that tell whether the way to a server is sound.
+
+        They are those of its group to which connections did not fail; where none is
+        left, those of other groups.
+        """
+        group = find_group(server)
+        way = self._groups.get(group)
+        failing = {server.vm_id}
+        if way is not None:
+            failing |= way.failed_opens.keys() | way.silent.keys()
+        known = self._registry.servers.values()
+        others = [one for one in known if one.vm_id not in failing]
+        members = [one for one in others if find_group(one) == group]
+        return members or others
+
     def find_changed_at_s(self, server: ServerView) -> float:
         """Return since when a server is reached as it is, in monotonic seconds.
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -67,6 +67,7 @@
 from cardamomtack_daemon.tunnels.changes import WayChanges
 from cardamomtack_daemon.tunnels.dialer import ServerDialer
 from cardamomtack_daemon.tunnels.server import TunnelServer
+from cardamomtack_daemon.tunnels.tester import WayTester
 
 BODY_BYTES_MAX = 67_108_864
 GC_THRESHOLD = 20_000
@@ -240,12 +241,14 @@
         self.memory = BodyMemory(settings.body_memory_bytes)
         chooser = PlacementChooser(random, settings.availability_zone)
         ways = DirectWays(self._registry, WayChanges(self._registry, self._pool), clock)
-        self._tunnels = TunnelServer(self._registry, ways)
+        tester = WayTester(self._pool.async_open, ways, clock, random)
+        self._tunnels = TunnelServer(self._registry, ways, tester)
         self._dialer = ServerDialer(
             self._pool.async_open,
             ways,
             HelperTable(self._members, random),
             self._registry,
+            tester,
             clock,
             random,
         )
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/const.py
@@ -22,5 +22,12 @@
 OUTCOME_REFUSED: Final = "refused"
 OUTCOME_UNREACHABLE: Final = "unreachable"
 REQUEST_TIMEOUT_S: Final = 2.0
+TEST_SERVERS_MAX: Final = 2
+"""Servers that are tried to find out whether the own way is sound."""
+
+TEST_TIMEOUT_S: Final = 0.1
+"""Bounds a test of the own way; another VM waits for its result meanwhile."""
+
+TEST_VALID_S: Final = 0.25
 TRIAL_CHECK_S: Final = 0.1
 TUNNELS_MAX: Final = 600
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/dialer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/dialer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
 from random import Random
 
 from anyio import create_task_group, sleep
@@ -24,8 +23,7 @@
     OUTCOME_UNREACHABLE,
     TRIAL_CHECK_S,
 )
-
-DirectOpen = Callable[[str, int], Awaitable[ServerConnection]]
+from cardamomtack_daemon.tunnels.tester import DirectOpen, WayTester
 
 
 class ServerDialer:
@@ -41,6 +39,8 @@
         The VMs that may help.
     registry : ServerRegistry
         The servers, for trials.
+    tester : WayTester
+        Tells a server that is down from a way that is cut.
     clock : Clock
         Tells the time.
     random : Random
@@ -53,6 +53,7 @@
         "_open_directly",
         "_random",
         "_registry",
+        "_tester",
         "_ways",
     )
 
@@ -62,6 +63,7 @@
         ways: DirectWays,
         helpers: HelperTable,
         registry: ServerRegistry,
+        tester: WayTester,
         clock: Clock,
         random: Random,
     ) -> None:
@@ -70,6 +72,7 @@
         self._open_directly = open_directly
         self._random = random
         self._registry = registry
+        self._tester = tester
         self._ways = ways
 
     async def async_open(self, address: ServerAddress) -> ServerConnection:
@@ -98,8 +101,8 @@
     async def async_open_to_judge(self, server: ServerView) -> ServerConnection:
         """Open a connection to a server that may have gone down.
 
-        That its host refuses this VM is not believed before another VM has been
-        refused, too.
+        That its host refuses this VM is believed when another VM has been refused, too,
+        or when this VM reaches other servers.
 
         Raises
         ------
@@ -112,9 +115,17 @@
             self._ways.record_failed_open(server)
             if not error.is_refused or not self._helpers.has_any():
                 raise
+            refusal = error
+        else:
+            self._ways.record_opened(server)
+            return connection
+        try:
             return await self._async_open_helped(server)
-        self._ways.record_opened(server)
-        return connection
+        except ServerUnreachableError as error:
+            if not error.is_own_way or not await self._tester.async_is_sound(server):
+                raise
+        self._ways.record_down(server)
+        raise refusal
 
     def is_unreachable(self, server: ServerView) -> bool:
         """Return whether neither this VM nor another one is known to reach a server."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
@@ -41,6 +41,8 @@
     TUNNELS_MAX,
 )
 
+from cardamomtack_daemon.tunnels.tester import WayTester
+
 
 class _Tunnel:
     """One connection of another VM to a server."""
@@ -113,6 +115,8 @@
         The servers; nothing else is reached.
     ways : DirectWays
         The own ways to them.
+    tester : WayTester
+        Tells a server that is down from a way that is cut.
 
     Attributes
     ----------
@@ -120,11 +124,21 @@
         Whether this VM leaves and takes no more connections.
     """
 
-    __slots__ = ("_hangups", "_registry", "_tunnels", "_ways", "is_leaving")
+    __slots__ = (
+        "_hangups",
+        "_registry",
+        "_tester",
+        "_tunnels",
+        "_ways",
+        "is_leaving",
+    )
 
-    def __init__(self, registry: ServerRegistry, ways: DirectWays) -> None:
+    def __init__(
+        self, registry: ServerRegistry, ways: DirectWays, tester: WayTester
+    ) -> None:
         self._hangups = HangupWatcher()
         self._registry = registry
+        self._tester = tester
         self._tunnels: set[_Tunnel] = set()
         self._ways = ways
         self.is_leaving = False
@@ -218,7 +232,8 @@
             self._ways.record_opened(server)
             return TunnelAnswer("open"), stream
         self._ways.record_failed_open(server)
-        if self._ways.is_in_doubt(server):
+        is_doubtful = self._ways.is_in_doubt(server)
+        if is_doubtful and not await self._tester.async_is_sound(server):
             return TunnelAnswer("cut"), None
         return TunnelAnswer("refused" if is_refused else "unreachable"), None
 
--- a/tests/cardamomtack/reach/test_ways.py
+++ b/tests/cardamomtack/reach/test_ways.py
@@ -49,6 +49,21 @@
         for number in range(3):
             self.ways.record_failed_open(self.find(f"a-{number}"))
 
+    def list_others(self, name):
+        """Return the names of the servers that tell of the way to one."""
+        return sorted(one.vm_id for one in self.ways.list_others(self.find(name)))
+
+    def test_way_is_tested_at_servers_that_are_down_as_well(self):
+        self.ways.record_failed_open(self.find("a-0"))
+        self.ways.record_silence(self.find("a-1"))
+        self.assertEqual(self.list_others("a-0"), ["a-2", "a-3", "a-4", "a-5"])
+        self.assertEqual(self.list_others("a-2"), ["a-3", "a-4", "a-5"])
+
+    def test_way_is_not_tested_where_no_server_of_the_zone_is_left(self):
+        for number in range(1, SERVERS):
+            self.ways.record_failed_open(self.find(f"a-{number}"))
+        self.assertEqual(self.list_others("a-0"), [f"b-{one}" for one in range(6)])
+
     def test_one_server_that_is_down_is_taken_for_a_cut(self):
         for _ in range(20):
             self.ways.record_failed_open(self.find("a-0"))
