End a connection whose answer can't become whole before reading on

Cause: a head over its bound was noted as a fault for the task that receives the answer, and the event loop read and parsed on, up to 8 MB in one turn, before that task ran. And the bound counted names and values only, of which 64 KiB are 16,000 fields of 4 bytes.

Fix: the connection is closed where the fault is noticed; a head has 1,000 fields at most, counted while they are parsed; waiting parts of a body count with their objects.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -23,6 +23,7 @@
 from httptools import HttpParserError
 
 from cardamomtack_daemon.http1.collector import (
+    CHUNK_OVERHEAD_BYTES,
     AnswerCheck,
     AnswerCollector,
     EndlessAnswerError,
@@ -81,6 +82,7 @@
         "_can_write",
         "_collector",
         "_fault",
+        "_is_aborted",
         "_is_busy",
         "_is_cut",
         "_is_expired",
@@ -105,6 +107,7 @@
         self._can_write: Future[None] | None = None
         self._collector = AnswerCollector()
         self._fault: str | None = None
+        self._is_aborted = False
         self._is_busy = False
         self._is_cut = False
         self._is_expired = False
@@ -126,21 +129,31 @@
         self._transport = cast("Transport", transport)
 
     def data_received(self, data: bytes) -> None:
-        """Parse what arrives; bytes that nobody asked for end the connection."""
+        """Parse what arrives; bytes that nobody asked for end the connection.
+
+        It ends at once: more may arrive before the receiver has its turn.
+        """
+        if self._is_aborted:
+            return
         if not self._is_busy:
             self.abort()
             return
-        self._buffered_bytes += len(data)
+        collector = self._collector
+        known_chunks = len(collector.chunks)
         try:
-            self._collector.feed(data)
+            collector.feed(data)
         except (EndlessAnswerError, HttpParserError) as error:
             # Bytes after a whole answer spoil the connection, not the answer.
-            if self._collector.has_ended:
-                self._collector.surplus = True
+            if collector.has_ended:
+                collector.surplus = True
             else:
                 self._fault = f"malformed answer: {error}"
+        new_chunks = len(collector.chunks) - known_chunks
+        self._buffered_bytes += len(data) + CHUNK_OVERHEAD_BYTES * new_chunks
         self._check_head()
-        if self._has_long_body(self._buffer_bytes_max) and self._transport:
+        if self._fault is not None or collector.surplus:
+            self.abort()
+        elif self._has_long_body(self._buffer_bytes_max) and self._transport:
             self._is_paused = True
             self._transport.pause_reading()
         self._wake()
@@ -302,6 +315,7 @@
 
     def abort(self) -> None:
         """Close the connection; an answer that still arrives is dropped."""
+        self._is_aborted = True
         self.is_reusable = False
         if self._transport is not None:
             self._transport.abort()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/collector.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/collector.py
@@ -9,6 +9,12 @@
 
 from cardamomtack_daemon.http1.messages import HeaderList
 
+CHUNK_OVERHEAD_BYTES = 64
+"""What a part of a body takes in memory beside its bytes."""
+
+FIELDS_MAX = 1000
+"""Most header fields of one answer, those of its trailer included."""
+
 FOREIGN_BYTES_MAX = 1_048_576
 HEAD_BYTES_MAX = 65_536
 LINE_BYTES_MAX = 65_536
@@ -34,6 +40,7 @@
 
     __slots__ = (
         "_check",
+        "_fields",
         "_foreign_bytes",
         "_has_progress",
         "_head_bytes",
@@ -53,6 +60,7 @@
 
     def __init__(self, check: AnswerCheck | None = None) -> None:
         self._check = check
+        self._fields = 0
         self._foreign_bytes = 0
         self._has_progress = False
         self._head_bytes = 0
@@ -86,8 +94,6 @@
             self._stalled_bytes = 0
         if self._stalled_bytes > LINE_BYTES_MAX:
             raise EndlessAnswerError("a line of the answer does not end")
-        if self._head_bytes > HEAD_BYTES_MAX:
-            raise EndlessAnswerError("head of the answer is too large")
         if self._foreign_bytes > FOREIGN_BYTES_MAX:
             raise EndlessAnswerError("answers to other requests do not end")
 
@@ -103,9 +109,18 @@
             _check_line(self._reason)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header field; fields after a body are only counted."""
+        """Collect a header field; fields after a body are only counted.
+
+        Raises
+        ------
+        EndlessAnswerError
+            When there are too many, or they are too long together.
+        """
         self._has_progress = True
+        self._fields += 1
         self._head_bytes += len(name) + len(value)
+        if self._fields > FIELDS_MAX or self._head_bytes > HEAD_BYTES_MAX:
+            raise EndlessAnswerError("head of the answer is too large")
         if self.has_ended or self.has_head:
             return
         _check_line(value)
@@ -138,6 +153,7 @@
         if self._is_foreign:
             self._is_foreign = False
             self._foreign_bytes += self._head_bytes
+            self._fields = 0
             self._head_bytes = 0
             self.foreign += 1
             self.headers = []
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/tester.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/tester.py
@@ -1,4 +1,4 @@
-"""Tests the own way to servers, to tell a server that is down from a way that is cut."""
+"""Tests the own way to servers: whether a refusal is the server's or the way's."""
 
 from __future__ import annotations
 
