Read no further for another VM than that one takes

A VM that reaches a server for another one read the server's connection as fast as bytes came, while the other VM took nothing: up to 8 MB in one turn of the event loop, for each of up to 600 connections.

Fix: the connection is a stream of the event loop's own, which stops reading inside the call that brings the bytes, at twice its window of 64 KiB.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
@@ -12,7 +12,6 @@
     BrokenResourceError,
     EndOfStream,
     Lock,
-    connect_tcp,
     create_task_group,
     create_tcp_listener,
     move_on_after,
@@ -40,7 +39,7 @@
     REQUEST_TIMEOUT_S,
     TUNNELS_MAX,
 )
-
+from cardamomtack_daemon.tunnels.stream import BoundedStream, async_connect_stream
 from cardamomtack_daemon.tunnels.tester import WayTester
 
 
@@ -50,7 +49,7 @@
     __slots__ = ("_hangups", "_lock", "_peer", "_server")
 
     def __init__(
-        self, peer: SocketStream, server: SocketStream, hangups: HangupWatcher
+        self, peer: SocketStream, server: BoundedStream, hangups: HangupWatcher
     ) -> None:
         self._hangups = hangups
         self._peer = peer
@@ -204,7 +203,7 @@
 
     async def _async_connect(
         self, wanted: TunnelOpen
-    ) -> tuple[TunnelAnswer, SocketStream | None]:
+    ) -> tuple[TunnelAnswer, BoundedStream | None]:
         """Return whether a server was reached, and the connection to it."""
         if self.is_leaving or len(self._tunnels) >= TUNNELS_MAX:
             return TunnelAnswer("busy"), None
@@ -219,15 +218,15 @@
 
     async def _async_connect_to(
         self, server: ServerView
-    ) -> tuple[TunnelAnswer, SocketStream | None]:
+    ) -> tuple[TunnelAnswer, BoundedStream | None]:
         """Return whether a known server was reached, and the connection to it."""
-        stream: SocketStream | None = None
+        stream: BoundedStream | None = None
         is_refused = False
         try:
             with move_on_after(CONNECT_TIMEOUT_S):
-                stream = await connect_tcp(server.address, server.port)
+                stream = await async_connect_stream(server.address, server.port)
         except OSError as error:
-            is_refused = _is_refused(error)
+            is_refused = isinstance(error, ConnectionRefusedError)
         if stream is not None:
             self._ways.record_opened(server)
             return TunnelAnswer("open"), stream
@@ -236,12 +235,3 @@
         if is_doubtful and not await self._tester.async_is_sound(server):
             return TunnelAnswer("cut"), None
         return TunnelAnswer("refused" if is_refused else "unreachable"), None
-
-
-def _is_refused(error: BaseException | None) -> bool:
-    """Return whether the host of a server has answered that nothing listens."""
-    while error is not None:
-        if isinstance(error, ConnectionRefusedError):
-            return True
-        error = error.__cause__
-    return False
--- a/tests/cardamomtack_daemon/forwarding/cuts.py
+++ b/tests/cardamomtack_daemon/forwarding/cuts.py
@@ -8,11 +8,11 @@
 from unittest.mock import patch
 
 import anyio
-from anyio.abc import SocketStream
 
 from cardamomtack_daemon import pool
 from cardamomtack_daemon.http1.client import ServerConnection, async_connect
 from cardamomtack_daemon.tunnels import server as tunnels
+from cardamomtack_daemon.tunnels.stream import BoundedStream, async_connect_stream
 from tests.cardamomtack_daemon.forwarding.case import EntryVm
 from tests.cardamomtack_daemon.forwarding.memory import make_configuration
 from tests.cardamomtack_daemon.forwarding.servers import ScriptedServer
@@ -61,7 +61,7 @@
         """Have the VMs open their connections to servers here."""
         with (
             patch.object(pool, "async_connect", self.async_connect),
-            patch.object(tunnels, "connect_tcp", self.async_connect_tcp),
+            patch.object(tunnels, "async_connect_stream", self.async_connect_stream),
         ):
             yield
 
@@ -101,10 +101,10 @@
         self._connections.setdefault(_VM_ID.get(), []).append((port, connection))
         return connection
 
-    async def async_connect_tcp(self, address: str, port: int) -> SocketStream:
+    async def async_connect_stream(self, address: str, port: int) -> BoundedStream:
         """Open a connection that a VM wants for another one, as its own cut allows."""
         await self._async_pass(port)
-        return await anyio.connect_tcp(address, port)
+        return await async_connect_stream(address, port)
 
     async def _async_pass(self, port: int) -> None:
         """Wait for ever, or fail, when the VM that calls is cut off from a server."""
