Let a stop wait for answers until their last byte has left

Cause: a stop waited for requests in flight, and a request stopped counting when the head of its long answer was handed over, so nobody counted what was still passed on.

Fix: a stop waits for the connections of callers, which are busy from the first byte of a request to the last one of its answer, after their close too. The grace period bounds it, and what it cuts lacks its length or its last chunk.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -401,7 +401,7 @@
             with move_on_after(left_s):
                 await sleep(min(BALANCER_NOTICE_S, BALANCER_NOTICE_SHARE_MAX * left_s))
                 self._forwarder.is_refusing = True
-                while self._forwarder.in_flight or self._tunnels.count:
+                while self._callers.count_busy() or self._tunnels.count:
                     await sleep(DRAIN_CHECK_S)
             tasks.cancel_scope.cancel()
         # What is still running gets an answer rather than a broken connection.
@@ -409,7 +409,7 @@
         self._callers.close_idle()
         # Answers that were just written leave with the next turns of the loop.
         await sleep(DRAIN_CHECK_S)
-        logger.bind(left=self._forwarder.in_flight).info("graceful shutdown done")
+        logger.bind(left=self._callers.count_busy()).info("graceful shutdown done")
 
     def _apply_configuration(self, configuration: FleetConfiguration) -> None:
         """Apply a new configuration."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
@@ -204,6 +204,21 @@
         """Return whether no request has begun to arrive."""
         return self._size == 0
 
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether bytes of an answer have not left yet."""
+        if self._is_lost or self._transport is None:
+            return False
+        return bool(self._transport.get_write_buffer_size())
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is arriving or under way, to its last byte."""
+        if self._is_lost:
+            return False
+        is_answering = self.waits_since_s is None
+        return is_answering or not self.is_between_requests or self.has_unsent
+
     def connection_made(self, transport: BaseTransport) -> None:
         """Keep the transport and have the requests answered."""
         self._transport = cast("Transport", transport)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
@@ -71,6 +71,7 @@
 
     __slots__ = (
         "_clock",
+        "_closing",
         "_connections",
         "_handler",
         "_limits",
@@ -84,6 +85,7 @@
         self, handler: RequestHandler, limits: ConnectionLimits, clock: Clock
     ) -> None:
         self._clock = clock
+        self._closing: set[CallerConnection] = set()
         self._connections: set[CallerConnection] = set()
         self._handler = handler
         self._limits = limits
@@ -97,6 +99,15 @@
         """Return how many connections are open."""
         return len(self._connections)
 
+    def count_busy(self) -> int:
+        """Return on how many connections a request is arriving or under way.
+
+        An answer is under way until its last byte has left.
+        """
+        self._closing = {one for one in self._closing if one.has_unsent}
+        busy = sum(connection.is_busy for connection in self._connections)
+        return busy + len(self._closing)
+
     async def async_serve(
         self,
         address: str,
@@ -140,6 +151,7 @@
         while True:
             await sleep(IDLE_CHECK_S)
             now_s = self._clock.read_monotonic_s()
+            self._closing = {one for one in self._closing if one.has_unsent}
             for connection in list(self._connections):
                 if connection.is_overdue(now_s):
                     connection.close()
@@ -176,6 +188,8 @@
             connection.end_all()
             connection.close()
             self._connections.discard(connection)
+            if connection.has_unsent:
+                self._closing.add(connection)
 
     async def _async_answer(
         self, connection: CallerConnection, request: HttpRequest
