Bound what is kept of the fields that a caller sends, trailers included

And fields of a trailer became header fields at the server, a second request id or host among them.

Cause: header fields were counted when the head was complete, so those after a body by nobody, and all were put into one list, which the server gets.

Fix: fields are counted as they arrive, at most 1,000 and the configured size in head and trailer together, then 431 and nothing more is kept; fields of a trailer are dropped, as RFC 9110 lets a recipient do.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/collector.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/collector.py
@@ -7,14 +7,11 @@
 
 from httptools import HttpResponseParser
 
-from cardamomtack_daemon.http1.messages import HeaderList
+from cardamomtack_daemon.http1.messages import FIELDS_MAX, HeaderList
 
 CHUNK_OVERHEAD_BYTES = 64
 """What a part of a body takes in memory beside its bytes."""
 
-FIELDS_MAX = 1000
-"""Most header fields of one answer, those of its trailer included."""
-
 FOREIGN_BYTES_MAX = 1_048_576
 HEAD_BYTES_MAX = 65_536
 LINE_BYTES_MAX = 65_536
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
@@ -24,6 +24,7 @@
 )
 from cardamomtack_daemon.http1.hangups import HangupWatcher
 from cardamomtack_daemon.http1.messages import (
+    FIELDS_MAX,
     HeaderList,
     HttpAnswer,
     HttpRequest,
@@ -145,6 +146,7 @@
         "_can_write",
         "_clock",
         "_descriptor",
+        "_fields",
         "_has_head",
         "_has_request",
         "_head_size",
@@ -175,6 +177,7 @@
         self._body_size = 0
         self._clock = clock
         self._descriptor = -1
+        self._fields = 0
         self._has_head = False
         self._has_request = False
         self._head_size = 0
@@ -271,6 +274,7 @@
         self._headers = []
         self._body = []
         self._body_size = 0
+        self._fields = 0
         self._has_head = False
         self._head_size = 0
 
@@ -280,13 +284,22 @@
         self._target += target
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header field."""
-        self._headers.append((name.lower(), value))
+        """Collect a header field, within bounds; those of a trailer are dropped."""
+        if self.refusal is not None:
+            return
+        self._fields += 1
         self._head_size += len(name) + len(value)
+        if self._fields > FIELDS_MAX or self._head_size > self._limits.head_bytes_max:
+            self._headers = []
+            self._refuse(431, "head of the request is too large")
+        elif not self._has_head:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Note that the head is complete, and check what it announces."""
         self._has_head = True
+        if self.refusal is not None:
+            return
         if self._head_size > self._limits.head_bytes_max:
             self._refuse(431, "head of the request is too large")
             return
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/messages.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/messages.py
@@ -9,6 +9,9 @@
 
 HeaderList = list[tuple[bytes, bytes]]
 
+FIELDS_MAX = 1000
+"""Most fields of one message, in its head and its trailer together."""
+
 # Header fields that are meant for one connection only.
 HOP_HEADERS = frozenset(
     {
--- a/tests/cardamomtack_daemon/http1/test_server.py
+++ b/tests/cardamomtack_daemon/http1/test_server.py
@@ -103,6 +103,23 @@
         self.assertEqual(seen, [True, False, False, True, False])
 
 
+class TrailerTest(unittest.TestCase):
+    """Fields that follow a body."""
+
+    def test_fields_of_a_trailer_are_taken_for_those_of_the_head(self):
+        seen: list[list[tuple[bytes, bytes]]] = []
+
+        class Handler(EchoHandler):
+            async def async_handle(self, request):
+                seen.append(list(request.headers))
+                return await super().async_handle(request)
+
+        trailer = b"0\r\nhost: y\r\ntest-id: 2\r\n\r\n"
+        anyio.run(async_talk, Handler(), CHUNKED.replace(b"0\r\n\r\n", trailer) + GET)
+        head = [(b"host", b"x"), (b"transfer-encoding", b"chunked")]
+        self.assertEqual(seen, [head, [(b"host", b"x")]])
+
+
 class CallerContractTest(unittest.TestCase):
     """The contract with callers, fault by fault."""
 
