Answer a request for an upgrade once, as if it hadn't asked

A caller whose request had Connection: Upgrade got two answers: its own, and a 400 that said that it had not run, which it had, and the end of its connection.

Cause: the parser stops after the head of such a request and reports an upgrade, after the request has been handed on; that was taken for a malformed request.

Fix: an upgrade that isn't offered is ignored (RFC 9110, 7.8), and what follows is parsed as the next request. The parser skips the body of such a request, and its bytes would become a request of their own, so one with a body is refused before it is handed on.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
@@ -236,9 +236,7 @@
             self._began_at_s = self._clock.read_monotonic_s()
         self._size += len(data)
         try:
-            self._parser.feed_data(data)
-        except HttpParserUpgrade:
-            self._refuse(400, "upgrades are not supported")
+            self._parse(data)
         except HttpParserError as error:
             self._refuse(400, f"malformed request: {error}")
         if not self._has_head and self._size > self._limits.head_bytes_max:
@@ -247,6 +245,27 @@
         if self._ready or self.refusal is not None:
             self._wake()
 
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes; a wish to upgrade the protocol is ignored.
+
+        The parser takes what follows such a head for another protocol, also a body.
+
+        Raises
+        ------
+        HttpParserError
+            When they are malformed.
+        """
+        while data:
+            try:
+                self._parser.feed_data(data)
+            except HttpParserUpgrade as upgrade:
+                if self.refusal is not None:
+                    return
+                data = data[upgrade.args[0] :]
+                self._parser = HttpRequestParser(self)
+            else:
+                return
+
     def connection_lost(self, error: Exception | None) -> None:
         """Note that the connection is gone."""
         self._is_lost = True
@@ -304,6 +323,9 @@
             self._refuse(431, "head of the request is too large")
             return
         length = self._read_length()
+        if length != 0 and self._parser.should_upgrade():
+            self._refuse(400, "upgrades with a body are not supported")
+            return
         if length is not None and length > self._limits.body_bytes_max:
             self._refuse(413, "body of the request is too large")
             return
