Let a hangup during the start of a process pass

Cause: the signal had its default action until the daemon's tasks were started.

A change of the settings that it announced is not lost: the file is watched from the state that it had before it was first read, and not from some moment after that (test_change_between_the_first_read_and_the_watch).

--- a/tests/cardamomtack_platform/test_process.py
+++ b/tests/cardamomtack_platform/test_process.py
@@ -177,6 +177,32 @@
             await stream.send(head + b"\r\n")
             return await Caller(stream).async_receive()
 
+    def test_a_hangup_during_the_start_ends_the_process(self):
+        names = ("front", "ready", "relay", "store")
+        ports = dict(zip(names, find_free_ports(4), strict=True))
+        with tempfile.TemporaryDirectory() as folder:
+            # The process reads its settings from a pipe, where it waits for the test.
+            path = Path(folder) / "boot.conf"
+            os.mkfifo(path)
+            environment = {**os.environ, "CARDAMOMTACK_SETTINGS": str(path)}
+            process = subprocess.Popen(
+                [sys.executable, str(APP / "entry.py")],
+                env=environment,
+                stdout=subprocess.DEVNULL,
+                stderr=subprocess.DEVNULL,
+            )
+            try:
+                with path.open("w") as settings:
+                    process.send_signal(signal.SIGHUP)
+                    with self.assertRaises(subprocess.TimeoutExpired):
+                        process.wait(0.5)
+                    settings.write(SETTINGS.format(**ports))
+                with self.assertRaises(subprocess.TimeoutExpired):
+                    process.wait(0.5)
+            finally:
+                process.kill()
+                process.wait()
+
     def test_faulty_settings_end_the_process_with_all_findings(self):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "boot.conf"
--- a/tests/cardamomtack_platform/test_watching.py
+++ b/tests/cardamomtack_platform/test_watching.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from cardamomtack_platform.watching import CHECK_S, SettingsWatcher
+from cardamomtack_platform.watching import CHECK_S, SettingsWatcher, read_stamp
 from tests.cardamomtack_platform.test_translation import SETTINGS
 
 
@@ -21,13 +21,27 @@
         self.path = Path(self.folder.name) / "boot.conf"
         self.path.write_text(SETTINGS)
         self.applied = []
-        self.watcher = SettingsWatcher(str(self.path), self.applied.append)
+        self.watcher = SettingsWatcher(
+            str(self.path), self.applied.append, read_stamp(self.path)
+        )
 
     def test_signal(self):
         self.path.write_text(SETTINGS.replace("graceS=6", "graceS=9"))
         self.watcher.reload()
         self.assertEqual([one.entry.grace_s for one in self.applied], [9.0])
 
+    def test_change_between_the_first_read_and_the_watch(self):
+        stamp = read_stamp(self.path)
+        self.path.write_text(SETTINGS.replace("graceS=6", "graceS=10"))
+        watcher = SettingsWatcher(str(self.path), self.applied.append, stamp)
+
+        async def run():
+            with anyio.move_on_after(2 * CHECK_S):
+                await watcher.async_watch()
+
+        anyio.run(run)
+        self.assertEqual([one.entry.grace_s for one in self.applied], [10.0])
+
     def test_file_that_is_gone_or_has_a_fault_changes_nothing(self):
         self.path.write_text("node=\n")
         self.watcher.reload()
