Keep the fields of a caller's connection from servers

A field that a caller's Connection field names, which is meant for that connection only, was passed on to the server.

Evidence: test_fields_of_one_connection_reach_a_server failed before. Fix: such fields are left out, but for Host and the id of the request, without which a server could not tell what it got; what this VM sets itself is added afterwards and can't be taken away.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
@@ -15,6 +15,7 @@
     encode_chunk,
     encode_request_head,
     find_field,
+    list_nominated,
 )
 
 STATUS_MISDIRECTED = 421
@@ -72,9 +73,10 @@
         The deadline that is passed on is what is left of the caller's.
         """
         names = self.names
-        replaced = (names.deadline_ms, names.target_server, b"expect")
         request = self.request
-        headers = [field for field in request.headers if field[0] not in replaced]
+        dropped = list_nominated(request.headers) - {b"host", names.request_id}
+        dropped |= {names.deadline_ms, names.target_server, b"expect"}
+        headers = [field for field in request.headers if field[0] not in dropped]
         left_ms = max(1, int((self.deadline_s - now_s) * MS_PER_S))
         headers.append((names.deadline_ms, b"%d" % left_ms))
         headers.append((names.target_server, server_id.encode()))
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/messages.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/messages.py
@@ -93,6 +93,15 @@
     return None
 
 
+def list_nominated(headers: HeaderList) -> set[bytes]:
+    """Return the names of the fields that are meant for one connection only.
+
+    They are those that a Connection field names (RFC 9110, 7.6.1).
+    """
+    options = b",".join(value for name, value in headers if name == b"connection")
+    return {option.strip().lower() for option in options.split(b",")}
+
+
 def encode_headers(headers: HeaderList) -> bytes:
     """Return header fields as they go over the wire, without those of a hop."""
     return b"".join(
