Refuse a request that names its host or its id twice

A request with two ids was passed on with both: this VM went by the first, and a server may go by the last. One with two Host fields was routed by the first (RFC 9112, 3.2, wants a 400).

Fix: such a request is refused with 400 before it is routed.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -231,6 +231,9 @@
             return _write_refusal(route.fault, UNCONFIGURED_RETRY_AFTER_S)
         if self.is_refusing:
             return _write_refusal("this VM is leaving", LEAVING_RETRY_AFTER_S)
+        if self._has_field_twice(request):
+            detail = "request names its host or its id more than once"
+            return build_problem(400, detail, OUTCOME_NOT_RUN)
         request_id = request.find_header(self._names.request_id)
         if request_id is None:
             return build_problem(400, "request has no id", OUTCOME_NOT_RUN)
@@ -263,6 +266,11 @@
             ForwardedBody(request, self._memory),
         )
 
+    def _has_field_twice(self, request: HttpRequest) -> bool:
+        """Return whether VM and server could take a request for different ones."""
+        names = [name for name, _ in request.headers]
+        return names.count(b"host") > 1 or names.count(self._names.request_id) > 1
+
     def _estimate_waited_s(
         self, request: HttpRequest, route: str, caller_s: float, now_s: float
     ) -> float:
--- a/tests/cardamomtack_daemon/forwarding/test_caller_fields.py
+++ b/tests/cardamomtack_daemon/forwarding/test_caller_fields.py
@@ -37,6 +37,13 @@
         fields = "X-Hop: 1\r\nX-End: 2\r\n"
         self.play_head(GET + nominated + fields, 200, check)
 
+    def test_a_request_with_two_ids_is_sent_on(self):
+        for field in ("Test-Id: r-2", "TEST-ID: r-1", f"host: {HOST}"):
+            with self.subTest(field):
+                self.play_head(
+                    f"{GET}{field}\r\n", 400, lambda sent: self.assertEqual(sent, [])
+                )
+
     def test_spaces_and_folds_hide_a_field(self):
         for field in ("test-id : r-2", "X-A: b\r\n test-id: r-2", "X-A: b\rtest-id: 2"):
             with self.subTest(field):
