--- a/tests/cardamomtack_daemon/forwarding/test_caller_fields.py
+++ b/tests/cardamomtack_daemon/forwarding/test_caller_fields.py
@@ -4,8 +4,10 @@
 
 import unittest
 
+import anyio
+
 from tests.cardamomtack_daemon.forwarding.callers import HOST
-from tests.cardamomtack_daemon.forwarding.case import ForwardingCase
+from tests.cardamomtack_daemon.forwarding.case import ForwardingCase, async_wait_for
 
 GET = f"GET /read/x HTTP/1.1\r\nHost: {HOST}\r\ntest-id: r-1\r\n"
 
@@ -62,5 +64,29 @@
                 self.play(scenario)
 
 
+class HalfCloseTest(ForwardingCase):
+    """A caller that closes its sending side."""
+
+    def test_a_caller_that_sends_nothing_more_is_waited_for(self):
+        async def hold(server, request, stream):
+            await anyio.sleep_forever()
+
+        async def scenario(vm, servers):
+            for server in servers:
+                server.script = hold
+
+            async def read_in_flight():
+                return vm.daemon.in_flight
+
+            async with vm.open_caller() as caller:
+                await caller.async_send("read", "r-1")
+                await async_wait_for(read_in_flight, lambda count: count == 1)
+                await caller.stream.send_eof()
+                with anyio.fail_after(0.5):
+                    await async_wait_for(read_in_flight, lambda count: count == 0)
+
+        self.play(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
