Give back the memory of a body that is refused behind a request that waits

Since bodies are read ahead of their servers, what had been reserved for one was kept for good when it was refused before its turn (a trailer without end, a body over the bound).

Evidence: test_memory_of_a_refused_body_is_kept failed before. Fix: the body is dropped with its request.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
@@ -544,6 +544,7 @@
                     self.scope.cancel()
             else:
                 self._ready.pop()
+                self._stream.discard()
         self.refusal = build_problem(status, detail, outcome, retry_after_s)
 
     def update_reading(self) -> None:
--- a/tests/cardamomtack_daemon/forwarding/test_abandoned_uploads.py
+++ b/tests/cardamomtack_daemon/forwarding/test_abandoned_uploads.py
@@ -104,6 +104,21 @@
         self.play_waiting(write_upload(1000), is_reset=True, waits=False)
 
 
+class RefusedUploadTest(UploadCase):
+    """A body that is refused behind a request that waits."""
+
+    def test_memory_of_a_refused_body_is_kept(self):
+        async def scenario(vm, servers):
+            for server in servers:
+                server.load = BUSY_LOAD
+            endless = write_chunked_upload(600_000).removesuffix(b"\r\n\r\n")
+            endless += b"\r\n" + 2000 * b"x: y\r\n"
+            await async_leave(vm, write_upload(1000) + endless)
+
+        # The base checks that all memory is given back.
+        self.play_uploads(scenario)
+
+
 class SlowServerTest(UploadCase):
     """A server that takes a body slowly does not hide that the caller has left."""
 
