Log what other VMs told only of servers that are looked into

Each connection that no VM could open for another one wrote a line, hundreds a second where all VMs are cut off. Now the line is written where a crash is judged. And a name that says what it holds in the tunnels.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/dialer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/dialer.py
@@ -122,6 +122,9 @@
         try:
             return await self._async_open_helped(server)
         except ServerUnreachableError as error:
+            logger.bind(server=server.vm_id, error=str(error)).info(
+                "no VM reaches a server that refuses this one"
+            )
             if not error.is_own_way or not await self._tester.async_is_sound(server):
                 raise
         self._ways.record_down(server)
@@ -191,14 +194,13 @@
                     vm=helper.vm_id, server=server.vm_id, outcome=error.outcome
                 ).debug("server not reached through another VM")
         # A VM that is cut off without knowing it says of one server that it is down.
-        logger.bind(server=server.vm_id, told=told).info("no VM reaches a server")
         is_down = bool(told) and all(
             one in (OUTCOME_REFUSED, OUTCOME_UNREACHABLE) for one in told
         )
         if is_down:
             self._ways.record_down(server)
         raise ServerUnreachableError(
-            "not reached through other VMs",
+            f"not reached through other VMs, which told {told}",
             is_refused=is_down and OUTCOME_REFUSED in told,
             is_own_way=not is_down,
         )
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
@@ -60,19 +60,19 @@
         """Pass bytes on both ways until either end closes."""
         async with create_task_group() as tasks:
             tasks.start_soon(self._async_pass_answers)
-            peer = self._peer.extra(SocketAttribute.raw_socket).fileno()
+            descriptor = self._peer.extra(SocketAttribute.raw_socket).fileno()
             try:
                 while True:
                     data = await self._peer.receive()
                     # While the server takes nothing, the VM is not read.
-                    self._hangups.add(peer, tasks.cancel_scope.cancel)
+                    self._hangups.add(descriptor, tasks.cancel_scope.cancel)
                     await self._server.send(data)
-                    self._hangups.remove(peer)
+                    self._hangups.remove(descriptor)
             except STREAM_ERRORS:
                 # The VM has closed, or the server takes nothing more.
                 tasks.cancel_scope.cancel()
             finally:
-                self._hangups.remove(peer)
+                self._hangups.remove(descriptor)
 
     async def async_tell_leaving(self) -> None:
         """Tell the other VM that nothing new may begin on this connection."""
