--- a/tests/fleet/test_records.py
+++ b/tests/fleet/test_records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import tempfile
 import unittest
 from pathlib import Path
@@ -18,7 +19,9 @@
 class RecordsTest(FleetCase):
     """What is left of requests after the fact."""
 
-    trace_file: ClassVar[Path] = Path(tempfile.gettempdir()) / "cardamomtack-spans.json"
+    trace_file: ClassVar[Path] = (
+        Path(tempfile.gettempdir()) / f"cardamomtack-spans-{os.getpid()}.json"
+    )
     settings: ClassVar[dict[str, Any]] = {"trace_file": str(trace_file)}
 
     @classmethod
