Use plain words for what is concluded of a refusing server

Names and docstrings only: a docstring of the window of a body also said that it bounds what arrives before a server takes it, which it no longer does.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/body.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/body.py
@@ -13,7 +13,7 @@
 from typing import Protocol
 
 BODY_WINDOW_BYTES = 65_536
-"""What has arrived of a long body before its caller has to wait."""
+"""What is held of a long body that a server takes before its caller has to wait."""
 
 READ_BYTES_MAX = 262_144
 """Most that the event loop reads of a connection at once."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -129,7 +129,7 @@
         self._transport = cast("Transport", transport)
 
     def data_received(self, data: bytes) -> None:
-        """Parse what arrives; bytes that nobody asked for end the connection.
+        """Parse what arrives; bytes that belong to no request end the connection.
 
         It ends at once: more may arrive before the receiver has its turn.
         """
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
@@ -231,7 +231,7 @@
             self._ways.record_opened(server)
             return TunnelAnswer("open"), stream
         self._ways.record_failed_open(server)
-        is_doubtful = self._ways.is_in_doubt(server)
-        if is_doubtful and not await self._tester.async_is_sound(server):
+        may_be_cut = self._ways.is_in_doubt(server)
+        if may_be_cut and not await self._tester.async_is_sound(server):
             return TunnelAnswer("cut"), None
         return TunnelAnswer("refused" if is_refused else "unreachable"), None
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/tester.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/tester.py
@@ -23,7 +23,7 @@
 
 
 class WayTester:
-    """Connects to a server beside one whose refusal is in doubt.
+    """Connects to another server, to judge the refusal of one.
 
     Parameters
     ----------
--- a/tests/cardamomtack_daemon/forwarding/test_crashing_requests.py
+++ b/tests/cardamomtack_daemon/forwarding/test_crashing_requests.py
@@ -88,10 +88,10 @@
 
     def test_crashes_are_not_believed_beside_vms_in_doubt(self):
         # A VM of the version before says that it is cut off.
-        async def doubt(server, wanted):
+        async def say_cut(server, wanted):
             return TunnelAnswer("cut"), None
 
-        with patch.object(TunnelServer, "_async_connect", doubt):
+        with patch.object(TunnelServer, "_async_connect", say_cut):
             self.check_quarantine(3, 8)
 
     def test_requests_of_a_vm_that_is_cut_off_are_blamed(self):
@@ -101,7 +101,7 @@
             for vm in fleet.vms:
                 async with anyio.create_task_group() as tasks:
                     for number in range(4):
-                        body = f"innocent-{number}".encode()
+                        body = f"other-{number}".encode()
                         tasks.start_soon(vm.async_call, "book", f"b-{number}", body)
                     await anyio.sleep(0.2)
                     fleet.cut(vm, Cut.RESET)
