Add the policy of workspaces, and rank calls by it

Interfaces that the parts of workspaces, quotas and queue order build on: Workspace and WorkspaceKeys, FleetConfiguration.workspaces, RoutePolicy.is_public, and the workspace and priority of a ForwardedCall.

--- a/packages/cardamomtack/src/cardamomtack/routing/policy.py
+++ b/packages/cardamomtack/src/cardamomtack/routing/policy.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from cardamomtack.workspaces.policy import WorkspaceKeys
+
 
 class Repeatability(Enum):
     """How often a request of a kind may run."""
@@ -42,6 +44,8 @@
         0 is the most urgent.
     fault : str or None
         Why its requests can't be served, in words; None when they can.
+    is_public : bool
+        Whether its requests need no key of a workspace.
     """
 
     name: str
@@ -54,6 +58,7 @@
     objective_s: float
     priority: int
     fault: str | None = None
+    is_public: bool = False
 
     @property
     def is_idempotent(self) -> bool:
@@ -104,6 +109,8 @@
         None when the version names none to use; those before stay in force.
     findings : tuple of str
         What is not known or can't be used in this version, each with its place.
+    workspaces : WorkspaceKeys or None
+        The workspaces of callers; None where the deployment has none.
     """
 
     version: int
@@ -111,3 +118,4 @@
     services: dict[str, BackendService]
     limits: CallerLimits | None
     findings: tuple[str, ...] = ()
+    workspaces: WorkspaceKeys | None = None
--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces of callers: their keys, priorities and quotas."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
@@ -7,6 +7,7 @@
 from cardamomtack.generated.logs import SendRecord
 from cardamomtack.helpers.clock import MS_PER_S
 from cardamomtack.routing.policy import RoutePolicy
+from cardamomtack.workspaces.policy import Workspace
 from cardamomtack_daemon.forwarding.body import ForwardedBody
 from cardamomtack_daemon.forwarding.header_names import HeaderNames
 from cardamomtack_daemon.http1.messages import (
@@ -48,6 +49,9 @@
         Servers that were probed for their load.
     waited_s : float
         For how long it waited for capacity, in seconds.
+    workspace : Workspace or None
+        Whose key it came with; None where the deployment has no workspaces, or on a
+        public route without a known key.
     """
 
     request: HttpRequest
@@ -66,6 +70,14 @@
     estimate_s: float | None = None
     probes: int = 0
     waited_s: float = 0.0
+    workspace: Workspace | None = None
+
+    @property
+    def priority(self) -> int:
+        """Return its rank, 0 for the most urgent; that of its workspace goes first."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
 
     def encode(self, server_id: str, now_s: float) -> bytes:
         """Return the head and the first part of the body as they go to a server.
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -358,7 +358,7 @@
                 return self._finish_leaving(call, result)
             if result is not None and not budget.spend_send(
                 self._clock.read_monotonic_s(),
-                choose_budget_share(call.route.priority),
+                choose_budget_share(call.priority),
             ):
                 self._sender.release_unused(probed)
                 reason = "retry budget is spent"
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -301,7 +301,7 @@
 
         work_s = self.estimate_work_s(call)
         began_s = self._clock.read_monotonic_s()
-        queued = AsyncQueuedCall(call.route.priority, call.objective_s, work_s, is_fit)
+        queued = AsyncQueuedCall(call.priority, call.objective_s, work_s, is_fit)
         is_done = False
         try:
             placed = await queue.async_wait(queued, poll)
