Split the opening of calls and the log of decisions from the forwarder

CallOpener finds the route of a request, DecisionRecorder writes what decided a request, refusals.py builds refusals; the forwarder keeps the sending.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -47,8 +47,10 @@
     IDLE_MARGIN_S,
     MAINTENANCE_S,
 )
-from cardamomtack_daemon.forwarding.forwarder import Forwarder, TopicAges
+from cardamomtack_daemon.forwarding.decisions import DecisionRecorder, TopicAges
+from cardamomtack_daemon.forwarding.forwarder import Forwarder
 from cardamomtack_daemon.forwarding.header_names import HeaderNames
+from cardamomtack_daemon.forwarding.opening import CallOpener
 from cardamomtack_daemon.forwarding.placer import Placer
 from cardamomtack_daemon.forwarding.prober import ServerProber
 from cardamomtack_daemon.forwarding.readiness import ReadinessHandler
@@ -131,6 +133,7 @@
         "_limits",
         "_members",
         "_membership",
+        "_opener",
         "_pool",
         "_prober",
         "_readers",
@@ -268,9 +271,19 @@
             self._limits,
             clock,
         )
+        decisions = DecisionRecorder(
+            DecisionLog(self._writer, clock),
+            self._routes,
+            placer,
+            self._read_ages_ms,
+            clock,
+        )
+        self._opener = CallOpener(
+            settings, names, self._routes, self.memory, decisions, clock
+        )
         self._forwarder = Forwarder(
             settings,
-            names,
+            self._opener,
             self._routes,
             placer,
             self._sender,
@@ -278,9 +291,7 @@
             clock,
             random,
             self._limits,
-            DecisionLog(self._writer, clock),
-            self.memory,
-            self._read_ages_ms,
+            decisions,
         )
         self._caller_limits = ConnectionLimits(
             BODY_BYTES_MAX,
@@ -341,6 +352,7 @@
         """Apply newer settings; addresses stay those of the start."""
         self._settings = settings
         self._forwarder.settings = settings
+        self._opener.settings = settings
         self._share_budgets()
 
     async def _async_start_tasks(self, tasks: TaskGroup) -> None:
@@ -400,7 +412,7 @@
             tasks.start_soon(self._tunnels.async_leave)
             with move_on_after(left_s):
                 await sleep(min(BALANCER_NOTICE_S, BALANCER_NOTICE_SHARE_MAX * left_s))
-                self._forwarder.is_refusing = True
+                self._opener.is_refusing = True
                 while self._callers.count_busy() or self._tunnels.count:
                     await sleep(DRAIN_CHECK_S)
             tasks.cancel_scope.cancel()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -3,16 +3,12 @@
 from __future__ import annotations
 
 from asyncio import CancelledError
-from collections.abc import Callable
-from dataclasses import dataclass
 from math import inf
 from random import Random
 
 from loguru import logger
 
-from cardamomtack.generated.logs import RequestDecision
-from cardamomtack.helpers.clock import MS_PER_S, Clock
-from cardamomtack.helpers.decoding import parse_count
+from cardamomtack.helpers.clock import Clock
 from cardamomtack.limits.returns import ReturnSchedule
 from cardamomtack.placing.admission import (
     CallerTimes,
@@ -24,54 +20,33 @@
     choose_budget_share,
     compute_slack,
 )
-from cardamomtack.placing.caller_wait import CallerWaitEstimator
 from cardamomtack.placing.server import is_near_capacity
 from cardamomtack.quarantine.tracker import CrashTracker
 from cardamomtack.routing.table import PrefixRoutes
-from cardamomtack.util.digests import digest_parts
 from cardamomtack_daemon.forwarding.attempt import RequestSender
-from cardamomtack_daemon.forwarding.body import ForwardedBody
 from cardamomtack_daemon.forwarding.call import ForwardedCall
 from cardamomtack_daemon.forwarding.const import (
     FINISH_FACTOR,
     SUSPECT_RETRY_AFTER_S,
+    UNCONFIGURED_RETRY_AFTER_S,
 )
-from cardamomtack_daemon.forwarding.header_names import HeaderNames
+from cardamomtack_daemon.forwarding.decisions import DecisionRecorder
 from cardamomtack_daemon.forwarding.hedging import HedgedSender
+from cardamomtack_daemon.forwarding.opening import (
+    LEAVING_RETRY_AFTER_S,
+    CallOpener,
+)
 from cardamomtack_daemon.forwarding.outcome import SendOutcome, SendResult
 from cardamomtack_daemon.forwarding.placer import Placer
+from cardamomtack_daemon.forwarding.refusals import build_refusal
 from cardamomtack_daemon.forwarding.settings import EntrySettings
 from cardamomtack_daemon.forwarding.shared_limits import SharedLimits
-from cardamomtack_daemon.http1.body import BODY_WINDOW_BYTES, BodyMemory
 from cardamomtack_daemon.http1.messages import HttpAnswer, HttpRequest
-from cardamomtack_daemon.http1.problems import (
-    OUTCOME_NOT_RUN,
-    OUTCOME_UNKNOWN,
-    build_problem,
-)
+from cardamomtack_daemon.http1.problems import OUTCOME_UNKNOWN, build_problem
 from cardamomtack_daemon.http1.server import AnswerSource
-from cardamomtack_daemon.logs import DecisionLog
 
 Handled = tuple[HttpAnswer, AnswerSource | None]
 
-CALM_S = 3.0
-"""For how long nobody must have been sent back to take all callers for new ones."""
-
-LEAVING_RETRY_AFTER_S = 0.05
-REASON_NO_ROUTE = "no route matches"
-UNBOUNDED_CALLER_S = 60.0
-"""For how long a caller without a deadline takes a long answer."""
-
-UNCONFIGURED_RETRY_AFTER_S = 0.3
-
-
-@dataclass(slots=True, frozen=True)
-class TopicAges:
-    """Time since the store confirmed each topic, in milliseconds; -1 for never."""
-
-    configuration_ms: int
-    servers_ms: int
-
 
 class Forwarder:
     """Answers each request by at most one run, or more where that is allowed.
@@ -80,8 +55,8 @@
     ----------
     settings : EntrySettings
         Settings of the VM.
-    names : HeaderNames
-        Names of header fields.
+    opener : CallOpener
+        Finds the routes of requests.
     routes : PrefixRoutes
         The configuration in force.
     placer : Placer
@@ -96,12 +71,8 @@
         Spreads callers that come back.
     limits : SharedLimits
         Counts callers, for the shares of limits.
-    decisions : DecisionLog
+    decisions : DecisionRecorder
         Takes how requests ended.
-    memory : BodyMemory
-        Bounds what is kept of bodies.
-    read_ages_ms : callable
-        Returns how long ago the store confirmed what this VM knows.
 
     Attributes
     ----------
@@ -109,8 +80,6 @@
         Monotonic time at which this VM ends, in seconds; infinite while it doesn't.
     in_flight : int
         Requests that are not answered yet.
-    is_refusing : bool
-        Whether new requests are sent to other VMs, because this one leaves.
     settings : EntrySettings
         Settings of the VM; newer ones may take their place.
     vms : int or None
@@ -119,25 +88,20 @@
 
     __slots__ = (
         "_budgets",
-        "_caller_waits",
         "_clock",
         "_crash_tracker",
         "_decisions",
         "_hedged",
         "_limits",
-        "_memory",
-        "_names",
+        "_opener",
         "_placer",
         "_random",
-        "_read_ages_ms",
-        "_refused_at_s",
         "_returns",
         "_routes",
         "_sender",
         "_started_at_s",
         "ends_at_s",
         "in_flight",
-        "is_refusing",
         "settings",
         "vms",
     )
@@ -145,7 +109,7 @@
     def __init__(
         self,
         settings: EntrySettings,
-        names: HeaderNames,
+        opener: CallOpener,
         routes: PrefixRoutes,
         placer: Placer,
         sender: RequestSender,
@@ -153,23 +117,16 @@
         clock: Clock,
         random: Random,
         limits: SharedLimits,
-        decisions: DecisionLog,
-        memory: BodyMemory,
-        read_ages_ms: Callable[[], TopicAges],
+        decisions: DecisionRecorder,
     ) -> None:
         self._decisions = decisions
-        self._memory = memory
-        self._read_ages_ms = read_ages_ms
-        # Callers of before a start may come back to this VM.
+        self._opener = opener
         self._started_at_s = clock.read_monotonic_s()
-        self._refused_at_s = self._started_at_s
         self._budgets: dict[str, RetryBudget] = {}
         self._limits = limits
         self._returns: dict[str, ReturnSchedule] = {}
         self._clock = clock
         self._crash_tracker = crash_tracker
-        self._names = names
-        self._caller_waits = CallerWaitEstimator()
         self._placer = placer
         self._random = random
         self._routes = routes
@@ -179,7 +136,6 @@
         )
         self.ends_at_s = inf
         self.in_flight = 0
-        self.is_refusing = False
         self.settings = settings
         self.vms: int | None = None
 
@@ -197,7 +153,7 @@
     async def _async_route(self, request: HttpRequest) -> Handled:
         """Find the route of a request and answer it."""
         self._limits.record_request()
-        call = self._open_call(request)
+        call = self._opener.open_call(request)
         if not isinstance(call, ForwardedCall):
             return call, None
         if self._crash_tracker.is_quarantined(call.digest):
@@ -209,134 +165,21 @@
         try:
             handled, reason = await self._async_forward(call)
         except CancelledError:
-            self._log_decision(call, 0, "caller has gone")
+            self._decisions.record_call(call, 0, "caller has gone")
             raise
         finally:
             call.body.release()
-        self._log_decision(call, handled[0].status, reason)
+        self._decisions.record_call(call, handled[0].status, reason)
         return handled
 
-    def _open_call(self, request: HttpRequest) -> ForwardedCall | HttpAnswer:
-        """Return the call of a request, or the answer when it can't be forwarded."""
-        if self._routes.configuration is None:
-            return _write_refusal("no configuration yet", UNCONFIGURED_RETRY_AFTER_S)
-        host = request.find_header(b"host")
-        if host is None:
-            return build_problem(400, "request has no Host", OUTCOME_NOT_RUN)
-        route = self._routes.find_route(host, request.target)
-        if route is None:
-            self._log_unknown_route(request)
-            return build_problem(404, REASON_NO_ROUTE, OUTCOME_NOT_RUN)
-        if route.fault is not None:
-            return _write_refusal(route.fault, UNCONFIGURED_RETRY_AFTER_S)
-        if self.is_refusing:
-            return _write_refusal("this VM is leaving", LEAVING_RETRY_AFTER_S)
-        if self._has_field_twice(request):
-            detail = "request names its host or its id more than once"
-            return build_problem(400, detail, OUTCOME_NOT_RUN)
-        request_id = request.find_header(self._names.request_id)
-        if request_id is None:
-            return build_problem(400, "request has no id", OUTCOME_NOT_RUN)
-        now_s = self._clock.read_monotonic_s()
-        wait_s = route.timeout_s
-        caller_s = UNBOUNDED_CALLER_S
-        waited_s = 0.0
-        deadline_ms = request.find_header(self._names.deadline_ms)
-        caller_ms = parse_count(deadline_ms) if deadline_ms is not None else None
-        if caller_ms is not None:
-            caller_s = caller_ms / MS_PER_S
-            wait_s = min(wait_s, caller_s)
-            waited_s = self._estimate_waited_s(request, route.name, caller_s, now_s)
-        return ForwardedCall(
-            request,
-            route,
-            self._routes.choose_service(route),
-            self._names,
-            request_id,
-            now_s,
-            now_s + wait_s,
-            now_s + route.objective_s - waited_s,
-            now_s + max(wait_s, caller_s),
-            digest_parts(
-                host,
-                request.method,
-                request.target,
-                request.body[:BODY_WINDOW_BYTES],
-            ),
-            ForwardedBody(request, self._memory),
-        )
-
-    def _has_field_twice(self, request: HttpRequest) -> bool:
-        """Return whether VM and server could take a request for different ones."""
-        names = [name for name, _ in request.headers]
-        return names.count(b"host") > 1 or names.count(self._names.request_id) > 1
-
-    def _estimate_waited_s(
-        self, request: HttpRequest, route: str, caller_s: float, now_s: float
-    ) -> float:
-        """Return how long a caller has probably waited, in seconds."""
-        if self.settings.resends_use_new_connections and not request.is_first:
-            self._caller_waits.record_first_send(route, caller_s)
-            return 0.0
-        is_calm = now_s - self._refused_at_s > CALM_S
-        return self._caller_waits.estimate_waited_s(route, caller_s, is_calm)
-
     def _refuse_call(
         self, call: ForwardedCall, reason: str, retry_after_s: float
     ) -> Handled:
         """Refuse a call and log why."""
-        answer = _write_refusal(reason, retry_after_s)
-        self._log_decision(call, answer.status, reason)
+        answer = build_refusal(reason, retry_after_s)
+        self._decisions.record_call(call, answer.status, reason)
         return answer, None
 
-    def _log_unknown_route(self, request: HttpRequest) -> None:
-        """Log that no route matches, with what this VM knew and since when."""
-        ages = self._read_ages_ms()
-        decision = RequestDecision(
-            request_id=(request.find_header(self._names.request_id) or b"").decode(
-                "latin-1"
-            ),
-            route="",
-            service="",
-            status=404,
-            reason=REASON_NO_ROUTE,
-            version=self._routes.version,
-            configuration_age_ms=ages.configuration_ms,
-            servers_age_ms=ages.servers_ms,
-        )
-        self._decisions.record_decision(decision, False)
-
-    def _log_decision(self, call: ForwardedCall, status: int, reason: str) -> None:
-        """Log how a call ended, and what decided it."""
-        now_s = self._clock.read_monotonic_s()
-        ages = self._read_ages_ms()
-        estimate_s = call.estimate_s
-        is_first_send_success = (
-            reason == SendOutcome.ANSWERED.value and len(call.sends) == 1
-        )
-        decision = RequestDecision(
-            request_id=call.request_id.decode("latin-1"),
-            route=call.route.name,
-            service=call.service,
-            status=status,
-            reason=reason,
-            version=self._routes.version,
-            configuration_age_ms=ages.configuration_ms,
-            servers_age_ms=ages.servers_ms,
-            duration_ms=int((now_s - call.arrived_s) * MS_PER_S),
-            deadline_left_ms=int((call.deadline_s - now_s) * MS_PER_S),
-            estimate_ms=-1 if estimate_s is None else int(estimate_s * MS_PER_S),
-            objective_left_ms=int((call.objective_s - call.arrived_s) * MS_PER_S),
-            asked=call.probes,
-            waited_ms=int(call.waited_s * MS_PER_S),
-            sends=call.sends,
-        )
-        if not is_first_send_success:
-            decision.usable = self._placer.count_usable(call.service)
-            age_s = self._placer.compute_answer_age_s(call.service)
-            decision.answer_age_ms = int(age_s * MS_PER_S) if age_s < inf else -1
-        self._decisions.record_decision(decision, is_first_send_success)
-
     async def _async_forward(self, call: ForwardedCall) -> tuple[Handled, str]:
         """Send a call until it is answered or may not be sent again.
 
@@ -381,7 +224,7 @@
         reason = "this VM is leaving"
         if result is not None and result.outcome is not SendOutcome.NOT_RUN:
             return self._finish(call, result, reason)
-        return (_write_refusal(reason, LEAVING_RETRY_AFTER_S), None), reason
+        return (build_refusal(reason, LEAVING_RETRY_AFTER_S), None), reason
 
     def _finish_unplaced(
         self, call: ForwardedCall, result: SendResult | None
@@ -400,8 +243,8 @@
             call.leaves_at_s - now_s,
             now_s,
         )
-        self._refused_at_s = now_s
-        return (_write_refusal(reason, retry_after_s), None), reason
+        self._opener.refused_at_s = now_s
+        return (build_refusal(reason, retry_after_s), None), reason
 
     def _may_send_again(self, call: ForwardedCall, result: SendResult) -> bool:
         """Return whether a call may be sent to another server."""
@@ -431,7 +274,7 @@
         """
         if result is None or result.outcome is SendOutcome.NOT_RUN:
             retry_after_s = self._choose_retry_after_s(call, had_capacity)
-            return (_write_refusal(reason, retry_after_s), None), reason
+            return (build_refusal(reason, retry_after_s), None), reason
         if result.answer is not None:
             return (result.answer, result.rest), reason
         status = 504 if result.outcome is SendOutcome.OVERDUE else 502
@@ -443,7 +286,7 @@
         if had_capacity:
             return choose_prompt_retry_after_s(self._random)
         now_s = self._clock.read_monotonic_s()
-        self._refused_at_s = now_s
+        self._opener.refused_at_s = now_s
         times = CallerTimes(
             call.route.objective_s, call.objective_s - now_s, call.leaves_at_s - now_s
         )
@@ -477,8 +320,3 @@
     if known is None or result.outcome is not SendOutcome.NOT_RUN:
         return result
     return known
-
-
-def _write_refusal(detail: str, retry_after_s: float) -> HttpAnswer:
-    """Return the refusal of a request that has not run and will not run."""
-    return build_problem(503, detail, OUTCOME_NOT_RUN, retry_after_s)
