Find the workspaces of callers by their keys

Deployments with workspaces hand each caller a key; servers are to get the workspace's name and never the key. Without tenants nothing changes.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
@@ -82,7 +82,8 @@
     def encode(self, server_id: str, now_s: float) -> bytes:
         """Return the head and the first part of the body as they go to a server.
 
-        The deadline that is passed on is what is left of the caller's.
+        The deadline that is passed on is what is left of the caller's. The workspace is
+        that under which the call was opened, whatever versions have come since.
         """
         names = self.names
         request = self.request
@@ -92,6 +93,8 @@
         left_ms = max(1, int((self.deadline_s - now_s) * MS_PER_S))
         headers.append((names.deadline_ms, b"%d" % left_ms))
         headers.append((names.target_server, server_id.encode()))
+        if self.workspace is not None:
+            headers.append((names.workspace, self.workspace.name.encode()))
         head = encode_request_head(
             request.method, request.target, headers, request.length
         )
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/decisions.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/decisions.py
@@ -56,12 +56,14 @@
         self._read_ages_ms = read_ages_ms
         self._routes = routes
 
-    def record_unrouted(self, request_id: bytes, status: int, reason: str) -> None:
-        """Record a request that was answered before it had a route."""
+    def record_unopened(
+        self, request_id: bytes, status: int, reason: str, route: str = ""
+    ) -> None:
+        """Record a request that was answered before it had a route or a workspace."""
         ages = self._read_ages_ms()
         decision = RequestDecision(
             request_id=request_id.decode("latin-1"),
-            route="",
+            route=route,
             service="",
             status=status,
             reason=reason,
@@ -95,6 +97,7 @@
             asked=call.probes,
             waited_ms=int(call.waited_s * MS_PER_S),
             sends=call.sends,
+            workspace=call.workspace.name if call.workspace is not None else "",
         )
         if not is_first_send_success:
             decision.usable = self._placer.count_usable(call.service)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/header_names.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/header_names.py
@@ -35,6 +35,10 @@
     warm_up_ms : bytes
         How much longer the server warms up, in milliseconds, on answers to health
         checks.
+    workspace : bytes
+        Name of the workspace of the caller, for servers.
+    workspace_key : bytes
+        Key by which a caller shows its workspace.
     parse_load : callable
         Returns the report of a load header, or None when it can't be read.
     parse_rate_limit : callable
@@ -52,5 +56,7 @@
     rate_limit: bytes
     leaving: bytes
     warm_up_ms: bytes
+    workspace: bytes
+    workspace_key: bytes
     parse_load: Callable[[bytes], LoadReport | None]
     parse_rate_limit: Callable[[bytes], float | None]
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/opening.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/opening.py
@@ -1,4 +1,4 @@
-"""Opens calls: finds the route of a request, or the answer where there is none."""
+"""Opens calls: finds route and workspace of a request, or answers without them."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 from cardamomtack_daemon.forwarding.const import UNCONFIGURED_RETRY_AFTER_S
 from cardamomtack_daemon.forwarding.decisions import DecisionRecorder
 from cardamomtack_daemon.forwarding.header_names import HeaderNames
+from cardamomtack_daemon.forwarding.identification import CallerIdentifier
 from cardamomtack_daemon.forwarding.refusals import build_refusal
 from cardamomtack_daemon.forwarding.settings import EntrySettings
 from cardamomtack_daemon.http1.body import BODY_WINDOW_BYTES, BodyMemory
@@ -41,7 +42,7 @@
     memory : BodyMemory
         Bounds what is kept of bodies.
     decisions : DecisionRecorder
-        Takes the requests that have no route.
+        Takes the requests that have no route or no workspace.
     clock : Clock
         Tells the time.
 
@@ -59,6 +60,7 @@
         "_caller_waits",
         "_clock",
         "_decisions",
+        "_identifier",
         "_memory",
         "_names",
         "_routes",
@@ -79,6 +81,7 @@
         self._caller_waits = CallerWaitEstimator()
         self._clock = clock
         self._decisions = decisions
+        self._identifier = CallerIdentifier(names, routes, decisions)
         self._memory = memory
         self._names = names
         self._routes = routes
@@ -96,10 +99,13 @@
             return build_problem(400, "request has no Host", OUTCOME_NOT_RUN)
         route = self._routes.find_route(host, request.target)
         if route is None:
-            self._decisions.record_unrouted(
+            self._decisions.record_unopened(
                 request.find_header(self._names.request_id) or b"", 404, REASON_NO_ROUTE
             )
             return build_problem(404, REASON_NO_ROUTE, OUTCOME_NOT_RUN)
+        workspace = self._identifier.identify(request, route)
+        if isinstance(workspace, HttpAnswer):
+            return workspace
         if route.fault is not None:
             return build_refusal(route.fault, UNCONFIGURED_RETRY_AFTER_S)
         if self.is_refusing:
@@ -137,6 +143,7 @@
                 request.body[:BODY_WINDOW_BYTES],
             ),
             ForwardedBody(request, self._memory),
+            workspace=workspace,
         )
 
     def _has_field_twice(self, request: HttpRequest) -> bool:
--- a/tests/cardamomtack_daemon/forwarding/case.py
+++ b/tests/cardamomtack_daemon/forwarding/case.py
@@ -55,6 +55,8 @@
     rate_limit=b"test-limit",
     leaving=b"test-leaving",
     warm_up_ms=b"test-warm-up",
+    workspace=b"test-workspace",
+    workspace_key=b"test-key",
     parse_load=parse_load,
     parse_rate_limit=float,
 )
--- a/tests/cardamomtack_daemon/forwarding/memory.py
+++ b/tests/cardamomtack_daemon/forwarding/memory.py
@@ -17,6 +17,7 @@
     RoutePolicy,
     WeightedService,
 )
+from cardamomtack.workspaces.policy import WorkspaceKeys
 from cardamomtack_daemon.replicas.source import RecordsDeletedError, StoreError
 from tests.cardamomtack_daemon.forwarding.callers import HOST
 from tests.cardamomtack_daemon.forwarding.servers import SERVICE
@@ -223,6 +224,7 @@
     version: int = 1,
     routes: tuple[RoutePolicy, ...] = ROUTES,
     body_bytes_max: int = 100_000,
+    workspaces: WorkspaceKeys | None = None,
 ) -> FleetConfiguration:
     """Return a configuration."""
     return FleetConfiguration(
@@ -230,4 +232,5 @@
         routes,
         {SERVICE: BackendService(SERVICE, "/health", 100)},
         CallerLimits(2000, body_bytes_max, 1.0, 5.0),
+        workspaces=workspaces,
     )
--- a/tests/cardamomtack_daemon/forwarding/servers.py
+++ b/tests/cardamomtack_daemon/forwarding/servers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
@@ -22,12 +22,19 @@
 
 @dataclass(slots=True)
 class ServerRequest:
-    """A request as a scripted server got it."""
+    """A request as a scripted server got it.
+
+    Attributes
+    ----------
+    fields : list of (bytes, bytes)
+        All header fields and those of a trailer, also those that come twice.
+    """
 
     method: bytes
     target: bytes
     headers: dict[bytes, bytes]
     body: bytes
+    fields: list[tuple[bytes, bytes]] = field(default_factory=list)
 
 
 class _RequestCollector:
@@ -40,11 +47,13 @@
         self.parser = HttpRequestParser(self)
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
+        self._fields: list[tuple[bytes, bytes]] = []
         self._body = b""
 
     def on_message_begin(self) -> None:
         self._target = b""
         self._headers = {}
+        self._fields = []
         self._body = b""
 
     def on_url(self, target: bytes) -> None:
@@ -52,6 +61,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers[name.lower()] = value
+        self._fields.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         self.begun = self._make_request()
@@ -66,7 +76,9 @@
 
     def _make_request(self) -> ServerRequest:
         method = self.parser.get_method()
-        return ServerRequest(method, self._target, self._headers, self._body)
+        return ServerRequest(
+            method, self._target, self._headers, self._body, self._fields
+        )
 
 
 Script = Callable[["ScriptedServer", ServerRequest, SocketStream], Awaitable[None]]
--- a/tests/cardamomtack_daemon/forwarding/test_helped_vm.py
+++ b/tests/cardamomtack_daemon/forwarding/test_helped_vm.py
@@ -17,6 +17,7 @@
     test_unbounded_responses,
     test_unproved_refusals,
     test_uploads,
+    test_workspaces,
 )
 from tests.cardamomtack_daemon.forwarding.cuts import Cut, CutFleet
 
@@ -152,5 +153,13 @@
     """Bounds of long bodies."""
 
 
+class HelpedNameTest(HelpedPlay, test_workspaces.NameTest):
+    """Names of workspaces that servers get."""
+
+
+class HelpedKeyTest(HelpedPlay, test_workspaces.KeyTest):
+    """Keys of callers."""
+
+
 if __name__ == "__main__":
     unittest.main()
