--- a/packages/cardamomtack_operator/src/cardamomtack_operator/ledger.py
+++ b/packages/cardamomtack_operator/src/cardamomtack_operator/ledger.py
@@ -28,6 +28,7 @@
 STATUS_REFUSED = 503
 STATUS_SUCCESS_MAX = 299
 STATUS_SUCCESS_MIN = 200
+STATUS_UNAUTHORIZED = 401
 TOLD_S_MAX = 0.1
 """For how long what a server told of its speed is believed, in seconds."""
 
@@ -51,6 +52,7 @@
     REFUSED_BUDGET = "refused, retry budget was spent"
     REFUSED_BY_SERVERS = "refused by servers"
     REFUSED_UNPLACED = "refused, no server with a slot was found"
+    REFUSED_KEY = "refused, no key of a workspace"
     REFUSED_OTHER = "refused for another reason"
     LOST = "lost with a server or its answer"
     FAILED = "failed at a server"
@@ -168,6 +170,8 @@
         return _find_success_cause(request)
     if request.status == STATUS_REFUSED:
         return _find_refusal_cause(request)
+    if request.status == STATUS_UNAUTHORIZED and not request.sends:
+        return Cause.REFUSED_KEY
     has_lost = any(
         send.outcome in (SendOutcome.BROKEN.value, SendOutcome.OVERDUE.value)
         for send in request.sends
--- a/packages/cardamomtack_operator/src/cardamomtack_operator/story.py
+++ b/packages/cardamomtack_operator/src/cardamomtack_operator/story.py
@@ -63,8 +63,9 @@
 
 def _tell_decision(line: LogLine, request: RequestDecision) -> list[str]:
     """Return the sentences on one decision."""
+    whose = f" of workspace {request.workspace}" if request.workspace else ""
     story = [
-        f"{line.time}: {line.vm_id} had request {request.request_id} of route "
+        f"{line.time}: {line.vm_id} had request {request.request_id}{whose} of route "
         f"{request.route}, for service {request.service}, with version "
         f"{request.version} of the configuration in force."
     ]
--- a/tests/cardamomtack_daemon/forwarding/memory.py
+++ b/tests/cardamomtack_daemon/forwarding/memory.py
@@ -17,7 +17,12 @@
     RoutePolicy,
     WeightedService,
 )
-from cardamomtack.workspaces.policy import WorkspaceKeys
+from cardamomtack.workspaces.directory import (
+    KeyDigester,
+    WorkspaceDirectory,
+    WorkspaceEntry,
+)
+from cardamomtack.workspaces.policy import Workspace, WorkspaceKeys
 from cardamomtack_daemon.replicas.source import RecordsDeletedError, StoreError
 from tests.cardamomtack_daemon.forwarding.callers import HOST
 from tests.cardamomtack_daemon.forwarding.servers import SERVICE
@@ -234,3 +239,13 @@
         CallerLimits(2000, body_bytes_max, 1.0, 5.0),
         workspaces=workspaces,
     )
+
+
+def make_workspaces(**keys: list[str]) -> WorkspaceDirectory:
+    """Return workspaces with their keys."""
+    digester = KeyDigester(b"0123456789abcdef")
+    entries = []
+    for name, held in keys.items():
+        digests = tuple(digester.digest_key(key.encode()) for key in held)
+        entries.append(WorkspaceEntry(Workspace(name), digests))
+    return WorkspaceDirectory(digester, entries)
--- a/tests/cardamomtack_operator/test_ledger.py
+++ b/tests/cardamomtack_operator/test_ledger.py
@@ -91,6 +91,8 @@
             (make_decision(503, NOT_RUN, [(2, QUICK)]), Cause.REFUSED_BY_SERVERS),
             (make_decision(503, "no configuration yet"), Cause.REFUSED_OTHER),
             (make_decision(500, "server answered with a failure"), Cause.FAILED),
+            (make_decision(401, "request has no key"), Cause.REFUSED_KEY),
+            (make_decision(401, "answered", [(2, QUICK)]), Cause.FAILED),
             (make_decision(0, "caller has gone"), Cause.GONE),
         )
         for decision, cause in cases:
