Send nothing to the servers of evacuated availability zones

Change: the records come with the configuration and mark the servers of their zones, which then are not usable on any path: fresh, probed, unprobed, ejected, without capacity, waiting, hedged, sent again, placed but not sent yet, or through another VM, which answers "evacuated". A service without other servers is refused at once, with the reason "availability zone is evacuated", also for calls that wait. The known state holds when the store comes back from a copy: a record without an order stays while it is missing, and one that was dropped is recognised by its offset. An older page of the same history no longer adds keys that were removed before the start of a VM. A warm-up that is heard in a health check limits the sends at once, and not after up to half a second.

--- a/packages/cardamomtack/src/cardamomtack/discovery/registry.py
+++ b/packages/cardamomtack/src/cardamomtack/discovery/registry.py
@@ -13,6 +13,7 @@
 
 from cardamomtack.discovery.const import HOLD_LAPSED_S
 from cardamomtack.discovery.entry import ServerEntry
+from cardamomtack.discovery.evacuation import EvacuatedZones
 from cardamomtack.helpers.clock import Clock
 from cardamomtack.placing.server import ServerView, ServiceView
 
@@ -27,6 +28,8 @@
 
     Attributes
     ----------
+    evacuated_zones : EvacuatedZones
+        The zones whose servers get no work.
     is_known : bool
         Whether the entries have been read once.
     """
@@ -36,6 +39,7 @@
         "_held",
         "_listeners",
         "_trouble_until_s",
+        "evacuated_zones",
         "is_known",
         "servers",
         "services",
@@ -46,6 +50,8 @@
         self._held: set[str] = set()
         self._listeners: list[Callable[[ServerView], None]] = []
         self._trouble_until_s = 0.0
+        self.evacuated_zones = EvacuatedZones()
+        self.evacuated_zones.add_listener(self._mark_zone)
         self.is_known = False
         self.servers: dict[str, ServerView] = {}
         self.services: dict[str, ServiceView] = {}
@@ -83,6 +89,7 @@
             self._remove(known)
         service = self.find_service(entry.service)
         server = ServerView(entry, now_s, service.slowdown_estimates)
+        server.is_evacuated = entry.availability_zone in self.evacuated_zones
         self.servers[entry.server_id] = server
         service.add_member(server)
 
@@ -106,6 +113,12 @@
         for server_id in list(self._held):
             self._remove(self.servers[server_id])
 
+    def _mark_zone(self, zone: str, is_evacuated: bool) -> None:
+        """Mark the servers of a zone whose evacuation begins or ends."""
+        for server in self.servers.values():
+            if server.entry.availability_zone == zone:
+                server.is_evacuated = is_evacuated
+
     def _remove(self, server: ServerView) -> None:
         """Remove a server."""
         del self.servers[server.entry.server_id]
--- a/packages/cardamomtack/src/cardamomtack/placing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/server.py
@@ -75,6 +75,8 @@
         What the server has said of the requests that it wants.
     in_flight : int
         Requests of this VM that the server has not answered.
+    is_evacuated : bool
+        Whether its availability zone is evacuated.
     sent_since_report : int
         Requests of this VM that the last report can't hold yet.
     is_removed : bool
@@ -91,6 +93,7 @@
         "ejected_until_s",
         "entry",
         "in_flight",
+        "is_evacuated",
         "is_removed",
         "report",
         "sent_since_report",
@@ -112,6 +115,7 @@
         self.ejected_until_s = 0.0
         self.entry = entry
         self.in_flight = 0
+        self.is_evacuated = False
         self.is_removed = False
         self.report: LoadReport | None = None
         self.sent_since_report = 0
@@ -170,7 +174,12 @@
 
     @property
     def may_stay(self) -> bool:
-        """Return whether the server neither leaves nor has left."""
+        """Return whether the server neither leaves nor has left nor is evacuated."""
+        return self.is_staying and not self.is_evacuated
+
+    @property
+    def is_staying(self) -> bool:
+        """Return whether the server itself neither leaves nor has left."""
         if self.is_removed or self.entry.is_draining:
             return False
         return not self.demands.is_leaving
@@ -178,7 +187,8 @@
     def reserve_send(self, now_s: float) -> bool:
         """Return whether a request may be sent, and count it against the limit.
 
-        The server may have said that it leaves since it was chosen.
+        Since it was chosen, the server may have said that it leaves, or its zone may
+        be evacuated.
         """
         return self.may_stay and self.demands.reserve_send(now_s)
 
@@ -344,6 +354,16 @@
         self.slowdown_estimates = SlowdownEstimates()
         self.warm_up_rate_per_s: float | None = None
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Return whether its servers would get work, were their zones not evacuated."""
+        is_any = False
+        for server in self.members:
+            if server.may_stay:
+                return False
+            is_any = is_any or server.is_staying
+        return is_any
+
     def add_member(self, server: ServerView) -> None:
         """Add a server that has come."""
         self.members.append(server)
--- a/packages/cardamomtack/src/cardamomtack/replicas/topic.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/topic.py
@@ -106,7 +106,7 @@
         self._confirmation_listeners: list[Callable[[], None]] = []
         self._confirmed_at_s = -inf
         self._confirmed_by = SOURCE_STORE
-        self._dropped: OrderedDict[str, bytes] = OrderedDict()
+        self._dropped: OrderedDict[str, TopicRecord] = OrderedDict()
         self._history_listeners: list[Callable[[], None]] = []
         self._listeners: list[ChangeListener] = []
         self._offsets = KeyOffsets()
@@ -220,7 +220,7 @@
             self._apply_newest(page)
             return
         if page.history < self.history:
-            self._keep_earlier(page.records)
+            self._keep_earlier(page.records, False)
             return
         if page.history > self.history or page.start > self.end:
             raise TopicGapError(
@@ -239,7 +239,7 @@
         """Take the newest records of all keys, unless they are older than known."""
         position = (page.history, page.end)
         if position < self.position:
-            self._keep_earlier(page.records)
+            self._keep_earlier(page.records, page.history == self.history)
             return
         is_new = position > self.position
         is_first = self.end == END_UNKNOWN
@@ -281,10 +281,10 @@
 
     def _drop_absent(self, page: TopicRecords) -> list[TopicRecord]:
         """Drop the keys that newest records of this history lack, and return them."""
-        known = dict(self._values)
+        known = {record.key: record for record in self.build_newest_records().records}
         changes = self._remove_absent(page)
         for change in changes:
-            self._remember_dropped(change.key, known[change.key])
+            self._remember_dropped(known[change.key])
         return changes
 
     def _remove_absent(self, page: TopicRecords) -> list[TopicRecord]:
@@ -302,15 +302,18 @@
             del self._values[change.key]
         return changes
 
-    def _keep_earlier(self, records: list[TopicRecord]) -> None:
+    def _keep_earlier(self, records: list[TopicRecord], is_same_history: bool) -> None:
         """Keep what an older page tells of a key that is newer by its own word.
 
-        Another VM may still know what the store has lost.
+        Another VM may still know what the store has lost. Of this history nothing is
+        missing here, so an older page of it only tells what it has from earlier ones.
         """
         if not self._order.keeps_absent:
             return
         changes = []
         for record in records:
+            if is_same_history and record.offset != OFFSET_EARLIER:
+                continue
             earlier = TopicRecord(OFFSET_EARLIER, record.key, record.value)
             if self._compare(earlier) > 0:
                 self._store(earlier)
@@ -334,13 +337,28 @@
         known_offset = self._offsets.find(record.key)
         if known_offset is not None and record.offset <= known_offset:
             return True
+        if self._was_dropped(record):
+            return True
         # Offsets of this history say nothing of what an earlier one has told.
         is_mixed = self._was_restored or known_offset == OFFSET_EARLIER
         return is_mixed and bool(record.value) and self._compare(record) < 0
 
+    def _was_dropped(self, record: TopicRecord) -> bool:
+        """Return whether a record that tells no order is the one that was dropped.
+
+        A copy of the store holds it at the offset that it has always had. A record at
+        another offset may be newer, and is taken for it.
+        """
+        dropped = self._dropped.get(record.key)
+        if dropped is None or not self._order.keeps_absent:
+            return False
+        is_same = bool(record.value) and record.offset == dropped.offset
+        return is_same and self._order.read_order(record) is None
+
     def _store(self, record: TopicRecord) -> None:
         """Store a record in the place of the known one of its key."""
         known = self._values.pop(record.key, None)
+        known_offset = self._offsets.find(record.key)
         if record.value:
             self._offsets.record_value(record.key, record.offset)
             self._values[record.key] = record.value
@@ -349,12 +367,12 @@
                 self.values.add(record.key, record.value)
             return
         self._offsets.record_drop(record.key, record.offset)
-        if known is not None:
-            self._remember_dropped(record.key, known)
+        if known is not None and known_offset is not None:
+            self._remember_dropped(TopicRecord(known_offset, record.key, known))
 
-    def _remember_dropped(self, key: str, value: bytes) -> None:
+    def _remember_dropped(self, record: TopicRecord) -> None:
         """Remember the last record of a key that was dropped."""
-        self._dropped[key] = value
+        self._dropped[record.key] = record
         if len(self._dropped) > DROPPED_KEPT:
             self._dropped.popitem(last=False)
 
@@ -368,7 +386,7 @@
             alike or do not tell.
         """
         dropped = self._dropped.get(record.key)
-        value = self._values.get(record.key, dropped)
+        value = self._values.get(record.key, dropped.value if dropped else None)
         if value is None:
             return 1
         told = self._order.read_order(record)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -15,6 +15,10 @@
 from loguru import logger
 
 from cardamomtack.discovery.coordinator import DiscoveryCoordinator, EntryCodec
+from cardamomtack.discovery.evacuation import (
+    EvacuationCodec,
+    EvacuationCoordinator,
+)
 from cardamomtack.discovery.registry import ServerRegistry
 from cardamomtack.generated.relay import (
     CrashNotice,
@@ -79,7 +83,7 @@
 INCARNATION_BITS = 64
 
 
-class RecordCodec(ConfigurationCodec, EntryCodec, Protocol):
+class RecordCodec(ConfigurationCodec, EntryCodec, EvacuationCodec, Protocol):
     """Decodes the records of all topics."""
 
 
@@ -173,6 +177,7 @@
         self._pool = ConnectionPool(clock)
         self._registry = ServerRegistry(clock)
         self._registry.add_listener(self._drop_connections)
+        self._registry.evacuated_zones.add_listener(self._apply_evacuation)
         self._routes = PrefixRoutes(random)
         self._routes.add_listener(self._apply_configuration)
         self._build_replicas(codec, sources, names, random)
@@ -198,6 +203,15 @@
             tunnel_port=settings.tunnel_port,
         )
         configuration = TopicReplica(TOPIC_CONFIGURATION, sources.configuration_order)
+        # A VM that takes requests knows the zones to which it must not send them.
+        configuration.add_listener(
+            EvacuationCoordinator(
+                codec,
+                self._registry.evacuated_zones,
+                lambda: configuration.source,
+                lambda: configuration.compute_age_s(clock.read_boot_s()),
+            ).apply_records
+        )
         configuration.add_listener(
             RoutingCoordinator(
                 codec, self._routes, clock, lambda: configuration.source
@@ -443,6 +457,14 @@
         """Close the idle connections to a server that is gone."""
         self._pool.close_connections(server.vm_id)
 
+    def _apply_evacuation(self, zone: str, is_evacuated: bool) -> None:
+        """Close the idle connections to the servers of a zone that is evacuated."""
+        if not is_evacuated:
+            return
+        for server in self._registry.servers.values():
+            if server.entry.availability_zone == zone:
+                self._pool.close_connections(server.vm_id)
+
     def _wake(self) -> None:
         """Trust nothing from before the process stood still."""
         self._pool.close_all()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -45,6 +45,8 @@
 from cardamomtack_daemon.http1.problems import OUTCOME_UNKNOWN, build_problem
 from cardamomtack_daemon.http1.server import AnswerSource
 
+REASON_EVACUATED = "availability zone is evacuated"
+
 Handled = tuple[HttpAnswer, AnswerSource | None]
 
 
@@ -230,6 +232,8 @@
         self, call: ForwardedCall, result: SendResult | None
     ) -> tuple[Handled, str]:
         """Return the final answer of a call that no server takes, and the reason."""
+        if self._placer.is_evacuated(call.service):
+            return self._finish(call, result, REASON_EVACUATED)
         limits = self._placer.find_limits(call)
         is_proved = result is None or result.outcome is SendOutcome.NOT_RUN
         if limits is None or not is_proved:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -121,7 +121,8 @@
         may_wait : bool
             Whether the call may wait until a server has capacity for it.
         """
-        while self.find_limits(call) is None:
+        service = self._registry.find_service(call.service)
+        while not service.is_evacuated and self.find_limits(call) is None:
             placed = await self._async_find(call, may_wait)
             now_s = self._clock.read_monotonic_s()
             if placed is None or placed.server.reserve_send(now_s):
@@ -130,6 +131,10 @@
             self._pool.release(placed.server, placed.connection)
         return None
 
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether all servers of a service are in evacuated zones."""
+        return self._registry.find_service(service).is_evacuated
+
     def find_limits(self, call: ForwardedCall) -> ServiceLimits | None:
         """Return when servers take requests again, or None where some may take one.
 
@@ -304,7 +309,9 @@
         queued = AsyncQueuedCall(call.priority, call.objective_s, work_s, is_fit)
         is_done = False
         try:
-            placed = await queue.async_wait(queued, poll)
+            placed = await queue.async_wait(
+                queued, poll, lambda: not service.is_evacuated
+            )
             is_done = True
         finally:
             call.waited_s += self._clock.read_monotonic_s() - began_s
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
@@ -345,7 +345,11 @@
         warm_up_ms = parse_count(value) if value is not None else None
         if warm_up_ms:
             now_s = self._clock.read_monotonic_s()
+            was_warming = server.is_warming(now_s)
             server.record_warm_up(warm_up_ms / MS_PER_S, now_s)
+            if not was_warming:
+                # The limit holds for the request that would follow this check.
+                self._limits.share()
 
     def _record_load(
         self, service: ServiceView, server: ServerView, answer: HttpAnswer
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/wait_queue.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/wait_queue.py
@@ -91,7 +91,10 @@
         return True
 
     async def async_wait(
-        self, queued: AsyncQueuedCall, poll: Callable[[], Awaitable[None]]
+        self,
+        queued: AsyncQueuedCall,
+        poll: Callable[[], Awaitable[None]],
+        can_be_served: Callable[[], bool] = lambda: True,
     ) -> ProbedServer | None:
         """Return a server for a call, or None when it can't be in time any more.
 
@@ -100,12 +103,18 @@
         poll : callable
             Coroutine function that probes a few servers and offers those with capacity;
             called by the call that has waited longest.
+        can_be_served : callable
+            Returns whether a server may take calls at all; otherwise the wait ends.
         """
         now_s = self._clock.read_monotonic_s()
         if not self._queue.enqueue(queued, now_s):
             return None
         try:
-            while queued.assigned is None and now_s < queued.latest_start_at_s:
+            while (
+                queued.assigned is None
+                and now_s < queued.latest_start_at_s
+                and can_be_served()
+            ):
                 await queued.async_wait(
                     min(QUEUE_POLL_INTERVAL_S, queued.latest_start_at_s - now_s)
                 )
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/const.py
@@ -18,6 +18,7 @@
 """Bounds the time until another VM has told whether it has a connection."""
 
 OUTCOME_CUT: Final = "cut"
+OUTCOME_EVACUATED: Final = "evacuated"
 OUTCOME_OPEN: Final = "open"
 OUTCOME_REFUSED: Final = "refused"
 OUTCOME_UNREACHABLE: Final = "unreachable"
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/dialer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/dialer.py
@@ -19,6 +19,7 @@
 from cardamomtack_daemon.tunnels.connection import TunnelError, async_open_tunnel
 from cardamomtack_daemon.tunnels.const import (
     HELPERS_ASKED_MAX,
+    OUTCOME_EVACUATED,
     OUTCOME_REFUSED,
     OUTCOME_UNREACHABLE,
     TRIAL_CHECK_S,
@@ -186,13 +187,16 @@
                 return await self._async_open_through(helper, wanted, now_s)
             except TunnelError as error:
                 told.append(error.outcome)
-                if error.outcome == OUTCOME_REFUSED:
+                if error.outcome in (OUTCOME_EVACUATED, OUTCOME_REFUSED):
                     self._helpers.record_help(helper.vm_id)
                 else:
                     self._helpers.record_failure(helper.vm_id, now_s)
                 logger.bind(
                     vm=helper.vm_id, server=server.vm_id, outcome=error.outcome
                 ).debug("server not reached through another VM")
+                if error.outcome == OUTCOME_EVACUATED:
+                    # The others have heard it, too, or will at the same time.
+                    break
         # A VM that is cut off without knowing it says of one server that it is down.
         is_down = bool(told) and all(
             one in (OUTCOME_REFUSED, OUTCOME_UNREACHABLE) for one in told
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
@@ -208,8 +208,10 @@
         if self.is_leaving or len(self._tunnels) >= TUNNELS_MAX:
             return TunnelAnswer("busy"), None
         server = self._registry.servers.get(wanted.server_id)
-        if server is None or not server.may_stay:
+        if server is None or not server.is_staying:
             return TunnelAnswer("unknown"), None
+        if server.is_evacuated:
+            return TunnelAnswer("evacuated"), None
         if (server.address, server.port) != (wanted.address, wanted.port):
             return TunnelAnswer("unknown"), None
         if self._ways.is_helped(server):
--- a/tests/cardamomtack/replicas/test_topic.py
+++ b/tests/cardamomtack/replicas/test_topic.py
@@ -256,6 +256,52 @@
         )
         self.assertEqual(read_state(replica), {"a": b"4"})
 
+    def test_record_of_the_copy_brings_back_what_was_dropped(self):
+        log = write_log([("a", b"1"), ("z", b"{}"), ("z", b"")])
+        replica = TopicReplica("t", DigitOrder(keeps_absent=True))
+        replica.apply_records(take_newest(log, 2))
+        replica.apply_records(take_range(log, 2, 3))
+        changes = self.restore(replica, log, log[:2])
+        self.assertNotIn("z", [key for key, _ in changes])
+        replica.apply_records(in_history(2, take_newest(log[:2], 2)))
+        self.assertEqual(read_state(replica), {"a": b"1"})
+        again = in_history(2, TopicRecords("t", 2, 3, [TopicRecord(2, "z", b"{}")]))
+        replica.apply_records(again)
+        self.assertEqual(read_state(replica), {"a": b"1", "z": b"{}"})
+
+    def test_vm_that_starts_after_a_restore_takes_back_what_others_know_as_dropped(
+        self,
+    ):
+        log = write_log([("a", b"1"), ("z", b"{}"), ("z", b"")])
+        other = TopicReplica("t", DigitOrder(keeps_absent=True))
+        other.apply_records(take_newest(log, 2))
+        other.apply_records(take_range(log, 2, 3))
+        self.restore(other, log, log[:2])
+        started = TopicReplica("t", DigitOrder(keeps_absent=True))
+        copy = in_history(2, take_newest(log[:2], 2))
+        for page in (copy, other.build_newest_records(), copy):
+            started.apply_records(page)
+        self.assertEqual(read_state(started), {"a": b"1"})
+        other.apply_records(copy)
+        self.assertEqual(read_state(other), {"a": b"1"})
+
+    def test_record_without_an_order_is_lost_with_the_copy(self):
+        log = write_log([("a", b"1"), ("z", b"{}")])
+        replica = TopicReplica("t", DigitOrder(keeps_absent=True))
+        changes = self.restore(replica, log, log[:1])
+        self.assertNotIn("z", [key for key, _ in changes])
+        self.assertEqual(read_state(replica), {"a": b"1", "z": b"{}"})
+        ended = in_history(2, TopicRecords("t", 1, 2, [TopicRecord(1, "z", b"")]))
+        replica.apply_records(ended)
+        self.assertEqual(read_state(replica), {"a": b"1"})
+
+    def test_stale_page_of_a_vm_brings_back_what_was_dropped_before_the_start(self):
+        log = write_log([("a", b"1"), ("z", b"{}"), ("z", b"")])
+        started = TopicReplica("t", DigitOrder(keeps_absent=True))
+        started.apply_records(take_newest(log, 3))
+        started.apply_records(take_newest(log, 2), "lagging VM")
+        self.assertEqual(read_state(started), {"a": b"1"})
+
     def test_odd_record_takes_the_place_of_a_configuration(self):
         replica = TopicReplica("t", DigitOrder(keeps_absent=True))
         log = write_log([("a", b"1"), ("a", b"2")])
--- a/tests/cardamomtack_daemon/forwarding/case.py
+++ b/tests/cardamomtack_daemon/forwarding/case.py
@@ -128,6 +128,10 @@
         """Write the entry of a server to the store."""
         self.entries.write(entry.server_id, self.codec.encode(entry))
 
+    def evacuate(self, zone: str, is_evacuated: bool = True) -> None:
+        """Write the record of an evacuation to the store, or remove it."""
+        self.configuration.write(f"evacuate/{zone}", b"{}" if is_evacuated else b"")
+
     def unregister(self, server_id: str) -> None:
         """Drop the entry of a server."""
         self.entries.write(server_id, b"")
--- a/tests/cardamomtack_daemon/forwarding/memory.py
+++ b/tests/cardamomtack_daemon/forwarding/memory.py
@@ -196,6 +196,10 @@
     def decode_entry(self, record: TopicRecord) -> ServerEntry | None:
         return self.objects.get(record.value)  # type: ignore[return-value]
 
+    def decode_evacuation(self, record: TopicRecord) -> str | None:
+        prefix, _, zone = record.key.partition("/")
+        return zone if prefix == "evacuate" else None
+
 
 def make_route(name: str, kind: Repeatability, **changes: object) -> RoutePolicy:
     """Return a route whose prefix is its name."""
