Decide what workspaces may send over all VMs

A quota of a workspace holds over all VMs, and callers of a workspace come to a few VMs, anywhere. SendAllowance and the bucket of a quota share one token bucket; a test reads its rate under the new name.

--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of workspaces over all VMs."""
--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/quotas/holders.py
@@ -0,0 +1,317 @@
+"""Which VM holds the bucket of a workspace.
+
+Every VM works it out from the VMs that it knows. VMs hear of one another at slightly
+different times, and no two of them may admit a whole quota side by side. So a VM that
+gains workspaces, since it has started or since the holders have changed, tells those
+that held them in its former view, and grants nothing until they have confirmed. One of
+them that is gone, or has started anew, needs not confirm.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from math import ceil, sqrt
+
+from xxhash import xxh64_intdigest
+
+from cardamomtack.generated.relay import Member
+from cardamomtack.quotas.const import SETS_KEPT, TENURES_KEPT, YIELD_S
+from cardamomtack.replicas.members import MemberTable
+
+Run = tuple[str, str]
+"""Id of a VM, and the run of its process."""
+
+
+def choose_holders(members: list[Member]) -> list[Member]:
+    """Return the VMs that hold buckets: about the square root, with the largest links.
+
+    Their number grows in steps of two, so that a VM that comes or goes rarely moves the
+    workspaces of others.
+    """
+    able = [member for member in members if member.quota_port]
+    if not able:
+        return []
+    wanted = 1
+    while wanted < ceil(sqrt(len(able))):
+        wanted *= 2
+    ranked = sorted(able, key=lambda one: (-one.link_mbps, one.vm_id))
+    return ranked[:wanted]
+
+
+def choose_holder(name: str, vm_ids: list[str]) -> str | None:
+    """Return which of some VMs holds a workspace, or None without VMs."""
+    return max(
+        vm_ids,
+        key=lambda vm_id: (xxh64_intdigest(f"{name}\0{vm_id}".encode()), vm_id),
+        default=None,
+    )
+
+
+@dataclass(slots=True)
+class FormerSet:
+    """The holders of before a change.
+
+    Attributes
+    ----------
+    vm_ids : list of str
+        The holders.
+    changed_at_s, until_s : float
+        Monotonic times of the change, and until which they may have granted, in
+        seconds.
+    waits_for : dict
+        The runs of VMs that have not confirmed the change.
+    """
+
+    vm_ids: list[str]
+    changed_at_s: float
+    until_s: float
+    waits_for: dict[str, Run] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class Tenure:
+    """Who holds a workspace.
+
+    Attributes
+    ----------
+    holder_id : str
+        The VM to ask; empty when none is known.
+    began_at_s : float or None
+        Monotonic time since which this VM holds it, in seconds; None when another does.
+    """
+
+    holder_id: str
+    began_at_s: float | None = None
+
+
+class HolderTable:
+    """Follows which VMs hold buckets.
+
+    Parameters
+    ----------
+    members : MemberTable
+        The VMs.
+    has_joined : callable
+        Returns whether the VMs that the store knows are known here.
+
+    Attributes
+    ----------
+    is_leaving : bool
+        Whether this VM leaves and grants nothing any more.
+    """
+
+    __slots__ = (
+        "_began_at_s",
+        "_ceded",
+        "_former",
+        "_found",
+        "_has_begun",
+        "_has_joined",
+        "_members",
+        "_revision",
+        "_runs",
+        "_told",
+        "_vm_ids",
+        "is_leaving",
+    )
+
+    def __init__(self, members: MemberTable, has_joined: Callable[[], bool]) -> None:
+        self._began_at_s = 0.0
+        self._ceded: dict[str, Run] = {}
+        self._found: dict[str, Tenure] = {}
+        self._former: list[FormerSet] = []
+        self._has_begun = False
+        self._has_joined = has_joined
+        self._members = members
+        self._revision = -1
+        self._runs: dict[str, Member] = {}
+        self._told: dict[str, Run] = {}
+        self._vm_ids: list[str] = []
+        self.is_leaving = False
+
+    @property
+    def is_holder(self) -> bool:
+        """Return whether this VM is one of the holders."""
+        return self._members.own.vm_id in self._vm_ids
+
+    @property
+    def run(self) -> Run:
+        """Return the run of this VM."""
+        return self._members.own.vm_id, self._members.own.incarnation
+
+    def find_member(self, vm_id: str) -> Member | None:
+        """Return a VM that may be asked, or None when it is unknown."""
+        member = self._runs.get(vm_id)
+        return member if member is not None and member.quota_port else None
+
+    def find(self, name: str, now_s: float) -> Tenure:
+        """Return who holds a workspace."""
+        self.refresh(now_s)
+        if not self._has_begun or self.is_leaving:
+            return self._find_other(name)
+        found = self._found.get(name)
+        if found is None:
+            if len(self._found) >= TENURES_KEPT:
+                self._found.clear()
+            found = self._find(name)
+            self._found[name] = found
+        if found.began_at_s is None and self._is_yielding(name, found, now_s):
+            return Tenure(self.run[0], self._find_beginning(name, self._former[:-1]))
+        return found
+
+    def refresh(self, now_s: float) -> None:
+        """Take what is new of the VMs."""
+        if self._has_begun and self._revision == self._members.revision:
+            return
+        if not self._has_joined():
+            return
+        self._revision = self._members.revision
+        self._found.clear()
+        members = self._members.list_members()
+        self._runs = {member.vm_id: member for member in members}
+        vm_ids = [member.vm_id for member in choose_holders(members)]
+        before = self._vm_ids
+        if not self._has_begun:
+            self._has_begun = True
+            self._began_at_s = now_s
+            before = [member.vm_id for member in choose_holders(members[1:])]
+        if vm_ids != before:
+            self._change(before, vm_ids, now_s)
+        self._drop_gone(now_s)
+
+    def list_claims(self) -> list[Member]:
+        """Return the VMs that are to be told whether this one holds buckets."""
+        if self.is_leaving:
+            return []
+        vm_ids = {vm_id for former in self._former for vm_id in former.waits_for}
+        if not self.is_holder:
+            vm_ids.update(self._told)
+        return [self._runs[one] for one in sorted(vm_ids) if self.find_member(one)]
+
+    def record_confirmed(
+        self, vm_id: str, others: list[str], is_holder: bool, now_s: float
+    ) -> None:
+        """Record that a VM has taken what this one has told it.
+
+        Parameters
+        ----------
+        others : list of str
+            The VMs that have told it that they hold buckets. Until this VM knows them,
+            it can't tell what is theirs.
+        is_holder : bool
+            Whether this VM has told that it holds buckets.
+        """
+        run = self._find_run(vm_id)
+        if run is None or any(other not in self._runs for other in others):
+            return
+        self._found.clear()
+        if not is_holder:
+            self._told.pop(vm_id, None)
+            return
+        self._told[vm_id] = run
+        for former in self._former:
+            if former.waits_for.pop(vm_id, None) is not None:
+                former.until_s = now_s
+
+    def record_claim(self, run: Run, is_holder: bool) -> list[str]:
+        """Record that another VM holds buckets, or no longer does.
+
+        Returns
+        -------
+        list of str
+            The VMs besides it that have told this one that they do.
+        """
+        self._found.clear()
+        if is_holder:
+            self._ceded[run[0]] = run
+        else:
+            self._ceded.pop(run[0], None)
+        return [vm_id for vm_id in self._ceded if vm_id != run[0]]
+
+    def _find(self, name: str) -> Tenure:
+        """Return who holds a workspace, apart from what this VM still yields."""
+        holder_id = choose_holder(name, self._list_holders())
+        if holder_id is None or holder_id != self.run[0]:
+            return Tenure(holder_id or "")
+        waits_for = _find_unconfirmed(name, self._former)
+        if waits_for is not None:
+            return Tenure(waits_for)
+        return Tenure(holder_id, self._find_beginning(name, self._former))
+
+    def _find_other(self, name: str) -> Tenure:
+        """Return who holds a workspace after this VM."""
+        others = [vm_id for vm_id in self._list_holders() if vm_id != self.run[0]]
+        return Tenure(choose_holder(name, others) or "")
+
+    def _list_holders(self) -> list[str]:
+        """Return the holders, those that have told this VM of themselves included."""
+        ceded = [vm_id for vm_id in self._ceded if vm_id not in self._vm_ids]
+        return [*self._vm_ids, *ceded]
+
+    def _find_run(self, vm_id: str) -> Run | None:
+        """Return the run of a VM, or None when it is unknown."""
+        member = self._runs.get(vm_id)
+        return (vm_id, member.incarnation) if member is not None else None
+
+    def _is_yielding(self, name: str, found: Tenure, now_s: float) -> bool:
+        """Return whether this VM grants on until the next holder has told it.
+
+        The next holder grants nothing before. One that does not know this VM would not
+        tell it, hence the limit.
+        """
+        if not self._former or found.holder_id in self._ceded:
+            return False
+        last = self._former[-1]
+        if now_s - last.changed_at_s > YIELD_S or self.run[0] not in last.vm_ids:
+            return False
+        if choose_holder(name, last.vm_ids) != self.run[0]:
+            return False
+        return _find_unconfirmed(name, self._former[:-1]) is None
+
+    def _find_beginning(self, name: str, former_sets: list[FormerSet]) -> float:
+        """Return since when this VM holds a workspace, in monotonic seconds."""
+        for former in reversed(former_sets):
+            if choose_holder(name, former.vm_ids) != self.run[0]:
+                return max(former.until_s, self._began_at_s)
+        return self._began_at_s
+
+    def _change(self, before: list[str], vm_ids: list[str], now_s: float) -> None:
+        """Put other holders in force."""
+        former = FormerSet(before, now_s, now_s)
+        if self.run[0] in vm_ids:
+            runs = {vm_id: self._find_run(vm_id) for vm_id in before}
+            former.waits_for = {
+                vm_id: run
+                for vm_id, run in runs.items()
+                if run is not None and vm_id != self.run[0]
+            }
+        self._former.append(former)
+        self._vm_ids = vm_ids
+        while len(self._former) > SETS_KEPT:
+            settled = [one for one in self._former if not one.waits_for]
+            dropped = (settled or self._former)[0]
+            self._former.remove(dropped)
+            self._began_at_s = max(self._began_at_s, dropped.until_s)
+
+    def _drop_gone(self, now_s: float) -> None:
+        """Forget the runs of VMs that are gone."""
+        for former in self._former:
+            for vm_id, run in list(former.waits_for.items()):
+                if self._find_run(vm_id) != run:
+                    del former.waits_for[vm_id]
+                    former.until_s = now_s
+        for runs in (self._ceded, self._told):
+            for vm_id, run in list(runs.items()):
+                is_other_run = self._find_run(vm_id) not in (None, run)
+                if is_other_run or self._members.has_left(*run):
+                    del runs[vm_id]
+
+
+def _find_unconfirmed(name: str, former_sets: list[FormerSet]) -> str | None:
+    """Return a VM that may still grant for a workspace, or None."""
+    for former in former_sets:
+        vm_id = choose_holder(name, former.vm_ids)
+        if vm_id is not None and vm_id in former.waits_for:
+            return vm_id
+    return None
--- a/packages/cardamomtack/src/cardamomtack/replicas/members.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/members.py
@@ -36,9 +36,14 @@
     ----------
     own : Member
         This VM.
+
+    Attributes
+    ----------
+    revision : int
+        Grows with each change of the VMs that are known.
     """
 
-    __slots__ = ("_dead_s", "_dead_until_s", "_gone", "_members", "own")
+    __slots__ = ("_dead_s", "_dead_until_s", "_gone", "_members", "own", "revision")
 
     def __init__(self, own: Member) -> None:
         self._dead_s: dict[str, float] = {}
@@ -46,6 +51,7 @@
         self._gone: set[tuple[str, str]] = set()
         self._members: dict[str, Member] = {}
         self.own = own
+        self.revision = 0
 
     @property
     def count(self) -> int:
@@ -68,15 +74,21 @@
             self._gone.add(run)
             if known is not None and known.incarnation == member.incarnation:
                 del self._members[member.vm_id]
+                self.revision += 1
             return True
         if run in self._gone:
             return False
         if known is not None and known.incarnation == member.incarnation:
             return False
         self._members[member.vm_id] = member
+        self.revision += 1
         self.mark_reachable(member.vm_id)
         return True
 
+    def has_left(self, vm_id: str, incarnation: str) -> bool:
+        """Return whether a run of a VM has said that it leaves."""
+        return (vm_id, incarnation) in self._gone
+
     def mark_reachable(self, vm_id: str) -> None:
         """Note that a VM can be heard and that the store answers it."""
         self._dead_s.pop(vm_id, None)
@@ -176,6 +188,7 @@
         0 < member.port <= PORT_MAX
         and is_number(member.link_mbps)
         and 0 <= member.tunnel_port <= PORT_MAX
+        and 0 <= member.quota_port <= PORT_MAX
         and is_token(member.vm_id)
         and len(member.availability_zone) <= TEXT_LENGTH_MAX
     )
--- a/tests/cardamomtack/limits/test_shared_limits.py
+++ b/tests/cardamomtack/limits/test_shared_limits.py
@@ -159,7 +159,7 @@
             with self.subTest(seed=seed):
                 fleet = SimulatedFleet(5, 0.5, seed)
                 fleet.run(6.0)
-                holder = max(fleet.vms, key=lambda vm: vm.server.allowance._share_per_s)
+                holder = max(fleet.vms, key=lambda vm: vm.server.allowance.rate_per_s)
                 holder.is_up = False
                 fleet.run(5.0)
                 since_s = fleet.now_s
--- /dev/null
+++ b/tests/cardamomtack/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the quotas of workspaces."""
