Ask the holder of a workspace for tokens before a call is placed

Each VM decided alone, so nothing bounded what a workspace sends over all VMs. A VM now listens on its third internal port while the configuration has workspaces, grants tokens of those that it holds, and asks other holders over one msgpack stream each. Callers are known again by a digest of their request, since what is missing of a deadline tells too little after a short pause.

Failing holders and the whole path of a request are not tested yet.

--- a/packages/cardamomtack/src/cardamomtack/quotas/bucket.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/bucket.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from dataclasses import dataclass
+from math import inf
 
 from cardamomtack.limits.returns import ReturnSchedule
 from cardamomtack.quotas.const import (
@@ -25,18 +26,16 @@
 
     Attributes
     ----------
-    fresh : int
-        Requests that wait for a token.
-    returning : int
-        Requests beyond these whose callers were sent back before.
+    keys : list of int
+        A short digest of each request that waits for a token. The same request has
+        the same one when its caller comes back, at whichever VM.
     spare : int
         Tokens that requests are expected to need soon.
     left_s : float
         For how long the callers may be sent back, in seconds.
     """
 
-    fresh: int = 0
-    returning: int = 0
+    keys: list[int]
     spare: int = 0
     left_s: float = 0.0
 
@@ -47,17 +46,14 @@
 
     Attributes
     ----------
-    fresh, returning, spare : int
-        Tokens for each part of the demand.
     retries_s : list of float
-        When each caller that gets none should come back, in seconds; first those of
-        returning requests.
+        For each key 0 for a token, or after how many seconds to come back.
+    spare : int
+        Tokens beyond these.
     """
 
-    fresh: int
-    returning: int
-    spare: int
     retries_s: list[float]
+    spare: int = 0
 
 
 class QuotaBucket:
@@ -80,7 +76,9 @@
     __slots__ = (
         "_bucket",
         "_held",
-        "_promised_at_s",
+        "_last_number",
+        "_numbers",
+        "_promises",
         "_returned_share",
         "_schedule",
         "quota",
@@ -92,7 +90,9 @@
         self._bucket = TokenBucket(began_at_s, min(quota.capacity, tokens))
         self._bucket.apply_bounds(quota.rate_per_s, quota.capacity, began_at_s)
         self._held: dict[object, int] = {}
-        self._promised_at_s: deque[float] = deque()
+        self._last_number = 0
+        self._numbers: dict[int, deque[int]] = {}
+        self._promises: dict[int, tuple[float, int]] = {}
         self._returned_share = 1.0
         self._schedule = ReturnSchedule()
         self.quota = quota
@@ -104,28 +104,15 @@
 
     def take(self, demand: TokenDemand, now_s: float) -> TokenGrant:
         """Give the tokens that there are, and times for who gets none."""
-        kept_from_s = now_s - self._choose_kept_s()
-        while self._promised_at_s and self._promised_at_s[0] < kept_from_s:
-            self._promised_at_s.popleft()
-            self._record_return(False)
-        returning = 0
-        while returning < demand.returning and self._claim(now_s):
-            returning += 1
+        self._expire_promises(now_s)
+        retries_s = [self._claim(key, now_s) for key in demand.keys]
         due = self._count_due(now_s)
-        fresh = 0
-        unclaimed = demand.returning - returning
-        # A returning request without a turn is one like others.
-        while fresh < unclaimed + demand.fresh and self._spend_beyond(due, now_s):
-            fresh += 1
-        spare = self._take_spare(demand.spare, due, now_s)
-        refused = unclaimed + demand.fresh - fresh
-        retries_s = [
-            self._choose_retry_s(due, demand.left_s, now_s) for _ in range(refused)
-        ]
-        as_returning = min(fresh, unclaimed)
-        return TokenGrant(
-            fresh - as_returning, returning + as_returning, spare, retries_s
-        )
+        for number, key in enumerate(demand.keys):
+            if retries_s[number] and not self._spend_beyond(due, now_s):
+                retries_s[number] = self._promise(key, due, demand.left_s, now_s)
+            else:
+                retries_s[number] = 0.0
+        return TokenGrant(retries_s, self._take_spare(demand.spare, due, now_s))
 
     def refund(self, count: int) -> None:
         """Take back tokens that were not used."""
@@ -150,10 +137,8 @@
 
     def is_idle(self, now_s: float) -> bool:
         """Return whether it is as one that nobody has asked yet."""
-        if self._held or not self._bucket.is_full(now_s):
-            return False
-        kept_from_s = now_s - self._choose_kept_s()
-        return not self._promised_at_s or self._promised_at_s[-1] < kept_from_s
+        self._expire_promises(now_s)
+        return not (self._held or self._promises) and self._bucket.is_full(now_s)
 
     def _apply_capacity(self, held_free: float, now_s: float) -> None:
         """Leave room for the requests that wait for a server."""
@@ -168,14 +153,35 @@
         """
         return min(PROMISE_KEPT_S, 0.5 * self.quota.capacity / self.quota.rate_per_s)
 
-    def _claim(self, now_s: float) -> bool:
-        """Take the token of a caller whose turn has come."""
-        promised = self._promised_at_s
-        if not promised or promised[0] > now_s + PROMISE_EARLY_S:
-            return False
-        promised.popleft()
+    def _expire_promises(self, now_s: float) -> None:
+        """Drop the turns of callers that have not come back in time."""
+        kept_from_s = now_s - self._choose_kept_s()
+        while self._promises:
+            number, (promised_at_s, key) = next(iter(self._promises.items()))
+            if promised_at_s >= kept_from_s:
+                return
+            self._drop_promise(number, key)
+            self._record_return(False)
+
+    def _drop_promise(self, number: int, key: int) -> None:
+        """Drop the turn of a caller, the first of those with its key."""
+        del self._promises[number]
+        numbers = self._numbers[key]
+        numbers.popleft()
+        if not numbers:
+            del self._numbers[key]
+
+    def _claim(self, key: int, now_s: float) -> float:
+        """Take the token of a caller whose turn has come; return 0 with a token."""
+        numbers = self._numbers.get(key)
+        if not numbers:
+            return inf
+        promised_at_s, _ = self._promises[numbers[0]]
+        if promised_at_s > now_s + PROMISE_EARLY_S:
+            return inf
+        self._drop_promise(numbers[0], key)
         self._record_return(True)
-        return self._bucket.spend(now_s)
+        return 0.0 if self._bucket.spend(now_s) else inf
 
     def _record_return(self, has_returned: bool) -> None:
         """Record whether a caller has come back when its turn came."""
@@ -190,7 +196,7 @@
         if self._returned_share < RETURNED_SHARE_MIN:
             return 0
         due = 0
-        for promised_at_s in self._promised_at_s:
+        for promised_at_s, _ in self._promises.values():
             if promised_at_s > now_s + RETRY_MARGIN_S:
                 break
             due += 1
@@ -210,11 +216,13 @@
             spare += 1
         return spare
 
-    def _choose_retry_s(self, due: int, left_s: float, now_s: float) -> float:
+    def _promise(self, key: int, due: int, left_s: float, now_s: float) -> float:
         """Return after how many seconds a caller should come back."""
         wait_s = self._bucket.compute_wait_s(now_s, due + 1.0) + RETRY_MARGIN_S
         rate_per_s = self.quota.rate_per_s
         retry_s = self._schedule.choose_retry_after_s(wait_s, rate_per_s, left_s, now_s)
-        if retry_s < left_s and len(self._promised_at_s) < PROMISES_MAX:
-            self._promised_at_s.append(now_s + retry_s)
+        if retry_s < left_s and len(self._promises) < PROMISES_MAX:
+            self._last_number += 1
+            self._promises[self._last_number] = (now_s + retry_s, key)
+            self._numbers.setdefault(key, deque()).append(self._last_number)
         return retry_s
--- a/packages/cardamomtack/src/cardamomtack/quotas/const.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/const.py
@@ -5,6 +5,7 @@
 BUCKETS_MAX: Final = 20_000
 """Workspaces of which a holder keeps a bucket; others are left to the fallback."""
 
+CEDED_MAX: Final = 1000
 FALLBACK_KEPT_WINDOW_SHARE: Final = 0.25
 """Part of a window for which an unused token of the fallback is kept."""
 
--- a/packages/cardamomtack/src/cardamomtack/quotas/holders.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/holders.py
@@ -16,7 +16,7 @@
 from xxhash import xxh64_intdigest
 
 from cardamomtack.generated.relay import Member
-from cardamomtack.quotas.const import SETS_KEPT, TENURES_KEPT, YIELD_S
+from cardamomtack.quotas.const import CEDED_MAX, SETS_KEPT, TENURES_KEPT, YIELD_S
 from cardamomtack.replicas.members import MemberTable
 
 Run = tuple[str, str]
@@ -225,6 +225,8 @@
         self._found.clear()
         if is_holder:
             self._ceded[run[0]] = run
+            if len(self._ceded) > CEDED_MAX:
+                del self._ceded[next(iter(self._ceded))]
         else:
             self._ceded.pop(run[0], None)
         return [vm_id for vm_id in self._ceded if vm_id != run[0]]
--- a/packages/cardamomtack/src/cardamomtack/quotas/ledger.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/ledger.py
@@ -65,7 +65,7 @@
             bucket.apply_quota(quota, self.rule.held_free, now_s)
         if not bucket.quota.rate_per_s:
             # The quota has ended, and the VM that asks does not know it yet.
-            return TokenGrant(demand.fresh, demand.returning, 0, [])
+            return TokenGrant([0.0] * len(demand.keys))
         return bucket.take(demand, now_s)
 
     def refund(self, name: str, count: int) -> None:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
@@ -18,6 +18,7 @@
     find_field,
     list_nominated,
 )
+from cardamomtack_daemon.quotas.gate import QuotaDecision
 
 STATUS_MISDIRECTED = 421
 
@@ -52,6 +53,8 @@
     workspace : Workspace or None
         Whose key it came with; None where the deployment has no workspaces, or on a
         public route without a known key.
+    quota : QuotaDecision or None
+        Whether the quota of the workspace admits it; None without a quota.
     """
 
     request: HttpRequest
@@ -71,6 +74,7 @@
     probes: int = 0
     waited_s: float = 0.0
     workspace: Workspace | None = None
+    quota: QuotaDecision | None = None
 
     @property
     def priority(self) -> int:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -62,6 +62,7 @@
 from cardamomtack_daemon.http1.server import CallerServer
 from cardamomtack_daemon.logs import DecisionLog, LogLineWriter
 from cardamomtack_daemon.pool import ConnectionPool
+from cardamomtack_daemon.quotas.service import QuotaService
 from cardamomtack_daemon.replicas.reader import TopicReader
 from cardamomtack_daemon.replicas.registration import MembershipRegistration
 from cardamomtack_daemon.replicas.relay import TopicRelay
@@ -136,6 +137,7 @@
         "_opener",
         "_pool",
         "_prober",
+        "_quotas",
         "_readers",
         "_readiness",
         "_registry",
@@ -196,6 +198,7 @@
             settings.relay_port,
             link_mbps=settings.link_mbps,
             tunnel_port=settings.tunnel_port,
+            quota_port=settings.quota_port,
         )
         configuration = TopicReplica(TOPIC_CONFIGURATION, sources.configuration_order)
         configuration.add_listener(
@@ -224,6 +227,14 @@
             self._relay.is_root,
             random,
         )
+        self._quotas = QuotaService(
+            settings,
+            self._members,
+            lambda: self._membership.has_joined,
+            clock,
+            random,
+        )
+        self._routes.add_listener(self._quotas.apply_configuration)
         for replica in self._replicas:
             replica.add_history_listener(self._membership.mark_restored)
         configuration_reader, self._servers_reader = (
@@ -292,6 +303,7 @@
             random,
             self._limits,
             decisions,
+            self._quotas.gate,
         )
         self._caller_limits = ConnectionLimits(
             BODY_BYTES_MAX,
@@ -353,6 +365,7 @@
         self._settings = settings
         self._forwarder.settings = settings
         self._opener.settings = settings
+        self._quotas.apply_settings(settings)
         self._share_budgets()
 
     async def _async_start_tasks(self, tasks: TaskGroup) -> None:
@@ -368,6 +381,7 @@
             await tasks.start(
                 self._tunnels.async_serve, settings.address, settings.tunnel_port
             )
+        tasks.start_soon(self._quotas.async_run)
         tasks.start_soon(self._dialer.async_try_directly)
         tasks.start_soon(self._async_join)
         tasks.start_soon(self._relay.async_subscribe)
@@ -405,6 +419,7 @@
         self._is_leaving = True
         self._callers.is_closing = True
         self._limits.leave()
+        self._quotas.leave()
         self._relay.broadcast_leaving()
         async with create_task_group() as tasks:
             # The store may not answer, and that must not take time from requests.
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/decisions.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/decisions.py
@@ -96,6 +96,12 @@
             waited_ms=int(call.waited_s * MS_PER_S),
             sends=call.sends,
         )
+        quota = call.quota
+        if quota is not None:
+            decision.quota_holder = quota.holder_id
+            decision.quota_age_ms = -1
+            if quota.holder_id:
+                decision.quota_age_ms = int(quota.age_s * MS_PER_S)
         if not is_first_send_success:
             decision.usable = self._placer.count_usable(call.service)
             age_s = self._placer.compute_answer_age_s(call.service)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 from cardamomtack.helpers.clock import Clock
 from cardamomtack.limits.returns import ReturnSchedule
 from cardamomtack.placing.admission import (
+    RETRY_AFTER_SHARE_MAX,
     CallerTimes,
     choose_prompt_retry_after_s,
     choose_retry_after_s,
@@ -38,12 +39,17 @@
 )
 from cardamomtack_daemon.forwarding.outcome import SendOutcome, SendResult
 from cardamomtack_daemon.forwarding.placer import Placer
-from cardamomtack_daemon.forwarding.refusals import build_refusal
+from cardamomtack_daemon.forwarding.refusals import (
+    build_quota_refusal,
+    build_refusal,
+)
 from cardamomtack_daemon.forwarding.settings import EntrySettings
 from cardamomtack_daemon.forwarding.shared_limits import SharedLimits
 from cardamomtack_daemon.http1.messages import HttpAnswer, HttpRequest
 from cardamomtack_daemon.http1.problems import OUTCOME_UNKNOWN, build_problem
 from cardamomtack_daemon.http1.server import AnswerSource
+from cardamomtack_daemon.quotas.const import QUOTA_KEY_BYTES
+from cardamomtack_daemon.quotas.gate import QuotaGate
 
 Handled = tuple[HttpAnswer, AnswerSource | None]
 
@@ -73,6 +79,8 @@
         Counts callers, for the shares of limits.
     decisions : DecisionRecorder
         Takes how requests ended.
+    quotas : QuotaGate
+        Admits the requests of workspaces.
 
     Attributes
     ----------
@@ -95,6 +103,7 @@
         "_limits",
         "_opener",
         "_placer",
+        "_quotas",
         "_random",
         "_returns",
         "_routes",
@@ -118,7 +127,9 @@
         random: Random,
         limits: SharedLimits,
         decisions: DecisionRecorder,
+        quotas: QuotaGate,
     ) -> None:
+        self._quotas = quotas
         self._decisions = decisions
         self._opener = opener
         self._started_at_s = clock.read_monotonic_s()
@@ -163,7 +174,7 @@
             detail = "the configuration does not name the service of this route"
             return self._refuse_call(call, detail, UNCONFIGURED_RETRY_AFTER_S)
         try:
-            handled, reason = await self._async_forward(call)
+            handled, reason = await self._async_admit(call)
         except CancelledError:
             self._decisions.record_call(call, 0, "caller has gone")
             raise
@@ -180,6 +191,32 @@
         self._decisions.record_call(call, answer.status, reason)
         return answer, None
 
+    async def _async_admit(self, call: ForwardedCall) -> tuple[Handled, str]:
+        """Forward a call that the quota of its workspace admits.
+
+        Returns
+        -------
+        (HttpAnswer, AnswerSource or None), str
+            The answer, and the reason for the log.
+        """
+        workspace = call.workspace
+        if workspace is None or not workspace.has_quota:
+            return await self._async_forward(call)
+        left_s = max(0.0, call.leaves_at_s - self._clock.read_monotonic_s())
+        quota = await self._quotas.async_admit(
+            workspace,
+            int.from_bytes(call.digest[:QUOTA_KEY_BYTES]),
+            RETRY_AFTER_SHARE_MAX * left_s,
+        )
+        call.quota = quota
+        if not quota.is_admitted:
+            answer = build_quota_refusal(quota.reason, quota.retry_after_s)
+            return (answer, None), quota.reason
+        try:
+            return await self._async_forward(call)
+        finally:
+            self._quotas.give_back(quota)
+
     async def _async_forward(self, call: ForwardedCall) -> tuple[Handled, str]:
         """Send a call until it is answered or may not be sent again.
 
@@ -206,6 +243,8 @@
                 self._sender.release_unused(probed)
                 reason = "retry budget is spent"
                 return self._finish(call, result, reason, had_capacity)
+            if call.quota is not None:
+                self._quotas.record_sent(call.quota)
             result = _keep_worse(result, await self._hedged.async_send(call, probed))
             had_capacity = not is_near_capacity(probed.server)
             if not self._may_send_again(call, result):
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/settings.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/settings.py
@@ -30,6 +30,12 @@
         request of a connection is a first send.
     tunnel_port : int
         Port at which servers are reached for other VMs; 0 for none.
+    quota_port : int
+        Port at which this VM grants what workspaces may send; 0 for none.
+    quota_window_s, quota_over_share, quota_slack : float
+        In no window of so many seconds do all VMs together send more requests of a
+        workspace than its quota, that share of it and the slack; all 0 when nothing
+        may exceed a quota.
     grace_s : float
         Time between SIGTERM and SIGKILL, in seconds.
     link_mbps : float
@@ -51,3 +57,7 @@
     grace_s: float
     link_mbps: float = 0.0
     tunnel_port: int = 0
+    quota_port: int = 0
+    quota_window_s: float = 0.0
+    quota_over_share: float = 0.0
+    quota_slack: float = 0.0
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/stream.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/stream.py
@@ -49,12 +49,20 @@
         The connection, owned by this object.
     message_type : type
         What is received.
+    frame_bytes_max : int
+        Longest frame that is received.
     """
 
-    __slots__ = ("_decoder", "_received", "_stream")
+    __slots__ = ("_decoder", "_frame_bytes_max", "_received", "_stream")
 
-    def __init__(self, stream: SocketStream, message_type: type[MessageT]) -> None:
+    def __init__(
+        self,
+        stream: SocketStream,
+        message_type: type[MessageT],
+        frame_bytes_max: int = FRAME_BYTES_MAX,
+    ) -> None:
         self._decoder = msgpack.Decoder(message_type)
+        self._frame_bytes_max = frame_bytes_max
         self._stream = stream
         self._received = bytearray()
 
@@ -106,7 +114,7 @@
         if len(self._received) < FRAME_LENGTH_BYTES:
             return None
         length = int.from_bytes(self._received[:FRAME_LENGTH_BYTES], "big")
-        if length > FRAME_BYTES_MAX:
+        if length > self._frame_bytes_max:
             raise PeerProtocolError(f"frame of {length} bytes")
         end = FRAME_LENGTH_BYTES + length
         if len(self._received) < end:
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of workspaces: asks for tokens, and grants them."""
--- /dev/null
+++ b/tests/cardamomtack_daemon/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the tasks of quotas."""
