--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/link.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/link.py
@@ -35,6 +35,7 @@
 from cardamomtack_daemon.peers.stream import (
     STREAM_ERRORS,
     MessageStream,
+    PeerProtocolError,
     encode_frame,
 )
 from cardamomtack_daemon.quotas.checks import check_answer
@@ -254,7 +255,9 @@
         PeerProtocolError
             When it answers something else.
         """
-        wants = self._sent.pop(answer.number, [])
+        wants = self._sent.pop(answer.number, None)
+        if wants is None:
+            raise PeerProtocolError("answer to no request")
         check_answer(answer, [len(want.waiters) for want in wants])
         self.is_doubtful = False
         for want, grant in zip(wants, answer.grants, strict=True):
--- a/tests/cardamomtack_daemon/quotas/test_asking.py
+++ b/tests/cardamomtack_daemon/quotas/test_asking.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import unittest
+from itertools import pairwise
 
 import anyio
-from msgspec import msgpack
 
-from cardamomtack.generated.quota import QuotaMessage, TokenAnswer, TokenAsk, TokenWant
 from cardamomtack.generated.relay import Member
 from cardamomtack.quotas.const import TOKEN_VALID_S
-from cardamomtack_daemon.peers.stream import MessageStream, encode_frame
-from cardamomtack_daemon.quotas.const import ASK_TIMEOUT_S, UNDECIDED_S
+from cardamomtack_daemon.quotas.const import UNDECIDED_S
 from tests.cardamomtack_daemon.quotas.case import (
     QuotaCase,
     QuotaVm,
@@ -49,7 +47,7 @@
             refused = [one for one in decisions if not one.is_admitted]
             self.assertEqual({one.holder_id for one in refused}, {"vm-0"})
             retries_s = sorted(one.retry_after_s for one in refused)
-            for earlier_s, later_s in zip(retries_s, retries_s[1:], strict=False):
+            for earlier_s, later_s in pairwise(retries_s):
                 self.assertAlmostEqual(later_s - earlier_s, 0.2, delta=0.02)
             await anyio.sleep(retries_s[0])
             key = decisions.index(min(refused, key=lambda one: one.retry_after_s)) - 8
