Claim workspaces before granting them, and test the whole path of a request

A VM that had a stale view of the others granted beside the new holder: in 20 simulated VMs that come and go every 1.6 s, with news that take up to 0.3 s, for up to 0.48 s, and for 2.6 s with news that take 3 s. A claim now names the holders as the claiming VM sees them, a VM that joins first waits until it hears of no others for 0.3 s, and the successor of a holder that is gone has to confirm, too.

--- a/packages/cardamomtack/src/cardamomtack/quotas/const.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/const.py
@@ -13,6 +13,11 @@
 HELD_SLACK_SHARE: Final = 0.5
 """Part of the slack that requests waiting for a server may use up beyond the burst."""
 
+JOIN_WAIT_S: Final = 0.3
+"""For how long a VM that has joined must hear of no others; less than YIELD_S."""
+
+JOIN_WAIT_S_MAX: Final = 3.0
+
 PREFETCH_S: Final = 0.1
 """For how many seconds of its demand a busy VM asks for tokens in advance."""
 
--- a/packages/cardamomtack/src/cardamomtack/quotas/holders.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/holders.py
@@ -9,14 +9,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from math import ceil, sqrt
 
 from xxhash import xxh64_intdigest
 
 from cardamomtack.generated.relay import Member
-from cardamomtack.quotas.const import CEDED_MAX, SETS_KEPT, TENURES_KEPT, YIELD_S
+from cardamomtack.quotas.const import (
+    CEDED_MAX,
+    JOIN_WAIT_S,
+    JOIN_WAIT_S_MAX,
+    SETS_KEPT,
+    TENURES_KEPT,
+    YIELD_S,
+)
 from cardamomtack.replicas.members import MemberTable
 
 Run = tuple[str, str]
@@ -39,7 +46,7 @@
     return ranked[:wanted]
 
 
-def choose_holder(name: str, vm_ids: list[str]) -> str | None:
+def choose_holder(name: str, vm_ids: Sequence[str]) -> str | None:
     """Return which of some VMs holds a workspace, or None without VMs."""
     return max(
         vm_ids,
@@ -61,12 +68,21 @@
         seconds.
     waits_for : dict
         The runs of VMs that have not confirmed the change.
+    gone : set of str
+        Those of them that are gone, whose workspaces others may have taken over.
     """
 
     vm_ids: list[str]
     changed_at_s: float
     until_s: float
     waits_for: dict[str, Run] = field(default_factory=dict)
+    gone: set[str] = field(default_factory=set)
+
+    def find_unconfirmed(self, name: str) -> str | None:
+        """Return a VM that may still grant for a workspace, or None."""
+        left = [vm_id for vm_id in self.vm_ids if vm_id not in self.gone]
+        vm_id = choose_holder(name, left)
+        return vm_id if vm_id in self.waits_for else None
 
 
 @dataclass(slots=True, frozen=True)
@@ -85,6 +101,22 @@
     began_at_s: float | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class HolderView:
+    """The holders as one of them sees them.
+
+    Attributes
+    ----------
+    incarnation : str
+        Its run.
+    vm_ids : tuple of str
+        The holders; without itself it holds nothing.
+    """
+
+    incarnation: str
+    vm_ids: tuple[str, ...]
+
+
 class HolderTable:
     """Follows which VMs hold buckets.
 
@@ -108,6 +140,9 @@
         "_found",
         "_has_begun",
         "_has_joined",
+        "_heard_at_s",
+        "_is_settled",
+        "_joined_at_s",
         "_members",
         "_revision",
         "_runs",
@@ -118,23 +153,21 @@
 
     def __init__(self, members: MemberTable, has_joined: Callable[[], bool]) -> None:
         self._began_at_s = 0.0
-        self._ceded: dict[str, Run] = {}
+        self._ceded: dict[str, HolderView] = {}
         self._found: dict[str, Tenure] = {}
         self._former: list[FormerSet] = []
         self._has_begun = False
         self._has_joined = has_joined
+        self._heard_at_s = 0.0
+        self._is_settled = False
+        self._joined_at_s = 0.0
         self._members = members
         self._revision = -1
         self._runs: dict[str, Member] = {}
-        self._told: dict[str, Run] = {}
+        self._told: dict[str, HolderView] = {}
         self._vm_ids: list[str] = []
         self.is_leaving = False
 
-    @property
-    def is_holder(self) -> bool:
-        """Return whether this VM is one of the holders."""
-        return self._members.own.vm_id in self._vm_ids
-
     @property
     def run(self) -> Run:
         """Return the run of this VM."""
@@ -148,7 +181,7 @@
     def find(self, name: str, now_s: float) -> Tenure:
         """Return who holds a workspace."""
         self.refresh(now_s)
-        if not self._has_begun or self.is_leaving:
+        if not self._may_hold(now_s):
             return self._find_other(name)
         found = self._found.get(name)
         if found is None:
@@ -167,6 +200,7 @@
         if not self._has_joined():
             return
         self._revision = self._members.revision
+        self._heard_at_s = now_s
         self._found.clear()
         members = self._members.list_members()
         self._runs = {member.vm_id: member for member in members}
@@ -175,22 +209,31 @@
         if not self._has_begun:
             self._has_begun = True
             self._began_at_s = now_s
+            self._joined_at_s = now_s
             before = [member.vm_id for member in choose_holders(members[1:])]
         if vm_ids != before:
             self._change(before, vm_ids, now_s)
         self._drop_gone(now_s)
 
-    def list_claims(self) -> list[Member]:
-        """Return the VMs that are to be told whether this one holds buckets."""
-        if self.is_leaving:
+    def list_claims(self, now_s: float) -> list[Member]:
+        """Return the VMs that are to be told what this one holds."""
+        if not self._may_hold(now_s):
             return []
-        vm_ids = {vm_id for former in self._former for vm_id in former.waits_for}
-        if not self.is_holder:
-            vm_ids.update(self._told)
+        own = self.view
+        vm_ids = {
+            vm_id for vm_id, view in self._told.items() if view.vm_ids != own.vm_ids
+        }
+        for former in self._former:
+            vm_ids.update(former.waits_for)
         return [self._runs[one] for one in sorted(vm_ids) if self.find_member(one)]
 
+    @property
+    def view(self) -> HolderView:
+        """Return the holders as this VM sees them."""
+        return HolderView(self.run[1], tuple(self._vm_ids))
+
     def record_confirmed(
-        self, vm_id: str, others: list[str], is_holder: bool, now_s: float
+        self, vm_id: str, others: list[str], view: HolderView, now_s: float
     ) -> None:
         """Record that a VM has taken what this one has told it.
 
@@ -199,41 +242,56 @@
         others : list of str
             The VMs that have told it that they hold buckets. Until this VM knows them,
             it can't tell what is theirs.
-        is_holder : bool
-            Whether this VM has told that it holds buckets.
+        view : HolderView
+            What it was told.
         """
         run = self._find_run(vm_id)
         if run is None or any(other not in self._runs for other in others):
             return
         self._found.clear()
-        if not is_holder:
-            self._told.pop(vm_id, None)
+        self._told[vm_id] = HolderView(run[1], view.vm_ids)
+        if view != self.view:
             return
-        self._told[vm_id] = run
         for former in self._former:
             if former.waits_for.pop(vm_id, None) is not None:
                 former.until_s = now_s
 
-    def record_claim(self, run: Run, is_holder: bool) -> list[str]:
-        """Record that another VM holds buckets, or no longer does.
+    def record_claim(self, vm_id: str, view: HolderView) -> list[str]:
+        """Record what another VM holds, which is no longer granted here.
 
         Returns
         -------
         list of str
-            The VMs besides it that have told this one that they do.
+            The VMs besides it that have told this one that they hold buckets.
         """
         self._found.clear()
-        if is_holder:
-            self._ceded[run[0]] = run
+        self._ceded.pop(vm_id, None)
+        if vm_id in view.vm_ids and vm_id != self.run[0]:
+            self._ceded[vm_id] = view
             if len(self._ceded) > CEDED_MAX:
                 del self._ceded[next(iter(self._ceded))]
-        else:
-            self._ceded.pop(run[0], None)
-        return [vm_id for vm_id in self._ceded if vm_id != run[0]]
+        return [other for other in self._ceded if other != vm_id]
+
+    def _may_hold(self, now_s: float) -> bool:
+        """Return whether this VM may grant anything.
+
+        After it has joined it waits until it hears of no others for a moment: many may
+        have started at the same time.
+        """
+        if not self._has_begun or self.is_leaving:
+            return False
+        if not self._is_settled:
+            quiet_s = now_s - self._heard_at_s
+            joined_s = now_s - self._joined_at_s
+            self._is_settled = quiet_s >= JOIN_WAIT_S or joined_s >= JOIN_WAIT_S_MAX
+        return self._is_settled
 
     def _find(self, name: str) -> Tenure:
         """Return who holds a workspace, apart from what this VM still yields."""
-        holder_id = choose_holder(name, self._list_holders())
+        for vm_id, view in self._ceded.items():
+            if choose_holder(name, view.vm_ids) == vm_id:
+                return Tenure(vm_id)
+        holder_id = choose_holder(name, self._vm_ids)
         if holder_id is None or holder_id != self.run[0]:
             return Tenure(holder_id or "")
         waits_for = _find_unconfirmed(name, self._former)
@@ -243,14 +301,9 @@
 
     def _find_other(self, name: str) -> Tenure:
         """Return who holds a workspace after this VM."""
-        others = [vm_id for vm_id in self._list_holders() if vm_id != self.run[0]]
+        others = [vm_id for vm_id in self._vm_ids if vm_id != self.run[0]]
         return Tenure(choose_holder(name, others) or "")
 
-    def _list_holders(self) -> list[str]:
-        """Return the holders, those that have told this VM of themselves included."""
-        ceded = [vm_id for vm_id in self._ceded if vm_id not in self._vm_ids]
-        return [*self._vm_ids, *ceded]
-
     def _find_run(self, vm_id: str) -> Run | None:
         """Return the run of a VM, or None when it is unknown."""
         member = self._runs.get(vm_id)
@@ -264,6 +317,8 @@
         """
         if not self._former or found.holder_id in self._ceded:
             return False
+        if not found.holder_id:
+            return False
         last = self._former[-1]
         if now_s - last.changed_at_s > YIELD_S or self.run[0] not in last.vm_ids:
             return False
@@ -282,12 +337,12 @@
         """Put other holders in force."""
         former = FormerSet(before, now_s, now_s)
         if self.run[0] in vm_ids:
-            runs = {vm_id: self._find_run(vm_id) for vm_id in before}
-            former.waits_for = {
-                vm_id: run
-                for vm_id, run in runs.items()
-                if run is not None and vm_id != self.run[0]
-            }
+            for vm_id in before:
+                run = self._find_run(vm_id)
+                if run is None:
+                    former.gone.add(vm_id)
+                elif vm_id != self.run[0]:
+                    former.waits_for[vm_id] = run
         self._former.append(former)
         self._vm_ids = vm_ids
         while len(self._former) > SETS_KEPT:
@@ -302,18 +357,20 @@
             for vm_id, run in list(former.waits_for.items()):
                 if self._find_run(vm_id) != run:
                     del former.waits_for[vm_id]
+                    former.gone.add(vm_id)
                     former.until_s = now_s
-        for runs in (self._ceded, self._told):
-            for vm_id, run in list(runs.items()):
+        for views in (self._ceded, self._told):
+            for vm_id, view in list(views.items()):
+                run = (vm_id, view.incarnation)
                 is_other_run = self._find_run(vm_id) not in (None, run)
                 if is_other_run or self._members.has_left(*run):
-                    del runs[vm_id]
+                    del views[vm_id]
 
 
 def _find_unconfirmed(name: str, former_sets: list[FormerSet]) -> str | None:
     """Return a VM that may still grant for a workspace, or None."""
     for former in former_sets:
-        vm_id = choose_holder(name, former.vm_ids)
-        if vm_id is not None and vm_id in former.waits_for:
+        vm_id = former.find_unconfirmed(name)
+        if vm_id is not None:
             return vm_id
     return None
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/checks.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/checks.py
@@ -12,7 +12,12 @@
 from cardamomtack.helpers.decoding import TEXT_LENGTH_MAX, is_count, is_token
 from cardamomtack.quotas.rule import Quota
 from cardamomtack_daemon.peers.stream import PeerProtocolError
-from cardamomtack_daemon.quotas.const import COUNT_MAX, QUOTA_KEY_BYTES, WANTS_MAX
+from cardamomtack_daemon.quotas.const import (
+    COUNT_MAX,
+    HOLDERS_MAX,
+    QUOTA_KEY_BYTES,
+    WANTS_MAX,
+)
 
 
 def check_ask(ask: TokenAsk) -> None:
@@ -58,6 +63,8 @@
     """
     if not is_token(claim.vm_id) or not is_token(claim.incarnation):
         raise PeerProtocolError("odd name of a VM")
+    if len(claim.holder_ids) > HOLDERS_MAX or not all(map(is_token, claim.holder_ids)):
+        raise PeerProtocolError("odd holders")
 
 
 def _is_name_sound(name: str) -> bool:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/claims.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/claims.py
@@ -45,7 +45,7 @@
         while True:
             now_s = self._clock.read_monotonic_s()
             self._holders.refresh(now_s)
-            claims = self._holders.list_claims()
+            claims = self._holders.list_claims(now_s)
             waiting = {member.vm_id for member in claims}
             for vm_id in self._pauses.keys() - waiting:
                 del self._pauses[vm_id]
@@ -64,9 +64,9 @@
         return True
 
     async def _async_tell(self, member: Member) -> None:
-        """Tell one VM whether this one holds buckets, and take its confirmation."""
-        is_holder = self._holders.is_holder
-        claim = HolderClaim(*self._holders.run, is_holder)
+        """Tell one VM what this one holds, and take its confirmation."""
+        view = self._holders.view
+        claim = HolderClaim(*self._holders.run, list(view.vm_ids))
         try:
             with fail_after(CLAIM_TIMEOUT_S):
                 stream = await connect_tcp(member.address, member.quota_port)
@@ -85,6 +85,6 @@
             self._holders.record_confirmed(
                 member.vm_id,
                 confirmation.others,
-                is_holder,
+                view,
                 self._clock.read_monotonic_s(),
             )
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/const.py
@@ -20,7 +20,7 @@
 """Longest time after which a caller comes back that no holder has decided about."""
 
 FRAME_BYTES_MAX: Final = 1_048_576
-HELD_WORKSPACES_MAX: Final = 2000
+HOLDERS_MAX: Final = 256
 HOPS_MAX: Final = 2
 """How many other VMs a request is referred to before it waits."""
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/server.py
@@ -18,7 +18,7 @@
 )
 from cardamomtack.helpers.clock import MS_PER_S, Clock
 from cardamomtack.quotas.bucket import TokenDemand
-from cardamomtack.quotas.holders import HolderTable
+from cardamomtack.quotas.holders import HolderTable, HolderView
 from cardamomtack.quotas.ledger import QuotaLedger
 from cardamomtack.quotas.rule import Quota
 from cardamomtack_daemon.peers.stream import (
@@ -123,9 +123,8 @@
     def _confirm(self, claim: HolderClaim) -> ClaimConfirmation:
         """Leave to a VM what it holds."""
         check_claim(claim)
-        others = self._holders.record_claim(
-            (claim.vm_id, claim.incarnation), claim.is_holder
-        )
+        view = HolderView(claim.incarnation, tuple(claim.holder_ids))
+        others = self._holders.record_claim(claim.vm_id, view)
         return ClaimConfirmation(self._holders.run[0], others)
 
 
--- /dev/null
+++ b/tests/cardamomtack_daemon/forwarding/test_quotas.py
@@ -0,0 +1,139 @@
+"""Requests of workspaces with a quota, from the caller to the server and back."""
+
+from __future__ import annotations
+
+import json
+import os
+import unittest
+from contextlib import contextmanager
+
+import anyio
+
+from cardamomtack.workspaces.policy import Workspace
+from cardamomtack_daemon.forwarding.call import ForwardedCall
+from cardamomtack_daemon.logs import LogLineWriter
+from tests.cardamomtack_daemon.forwarding.case import EntryVm
+from tests.cardamomtack_daemon.forwarding.memory import make_configuration
+from tests.cardamomtack_daemon.forwarding.servers import ScriptedServer
+from tests.cardamomtack_daemon.quotas.case import configure
+
+BURST = 4
+WORKSPACE = Workspace("kiln", rate_per_s=5.0, burst=BURST)
+
+
+def set_workspace(vm, workspace):
+    """Have all calls come from one workspace."""
+    opener = vm.daemon._opener
+    open_call = type(opener).open_call
+
+    class Opener(type(opener)):
+        __slots__ = ()
+
+        def open_call(self, request):
+            call = open_call(self, request)
+            if isinstance(call, ForwardedCall):
+                call.workspace = workspace
+            return call
+
+    opener.__class__ = Opener
+
+
+@contextmanager
+def open_log():
+    """Return a writer, and a function that reads the decisions it has written."""
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+
+    def read():
+        lines = os.read(reader, 1_000_000).decode().splitlines()
+        requests = [json.loads(line).get("request") for line in lines]
+        return [request for request in requests if request]
+
+    try:
+        yield LogLineWriter(writer, "vm-1"), read
+    finally:
+        os.close(reader)
+        os.close(writer)
+
+
+class QuotaTest(unittest.TestCase):
+    """One VM with one server."""
+
+    def play(self, scenario, workspaces=True, servers=1):
+        """Run a scenario with a VM that listens for other VMs."""
+
+        async def run():
+            with open_log() as (writer, read):
+                vm = EntryVm(writer=writer)
+                server = ScriptedServer("server-0")
+                async with anyio.create_task_group() as tasks:
+                    await tasks.start(server.async_serve)
+                    if servers:
+                        vm.register(server.make_entry())
+                    vm.publish(configure() if workspaces else make_configuration())
+                    tasks.start_soon(vm.daemon.async_serve, vm.stopping)
+                    await vm.async_wait_ready()
+                    await anyio.sleep(1.0)
+                    await scenario(vm, server, read)
+                    tasks.cancel_scope.cancel()
+
+        anyio.run(run, backend_options={"use_uvloop": True})
+
+    def test_request_over_the_quota_gets_429_and_is_admitted_when_told(self):
+        async def scenario(vm, server, read):
+            set_workspace(vm, WORKSPACE)
+            answers = [
+                await vm.async_call("book", f"b-{number}", b"van %d" % number)
+                for number in range(BURST + 1)
+            ]
+            self.assertEqual([one.status for one in answers], [200] * BURST + [429])
+            refused = answers[-1]
+            self.assertEqual(json.loads(refused.body)["outcome"], "not-run")
+            retry_s = float(refused.headers["retry-after"])
+            self.assertLess(retry_s, 0.3)
+            await anyio.sleep(retry_s)
+            again = await vm.async_call("book", "b-9", b"van %d" % BURST)
+            self.assertEqual(again.status, 200)
+            self.assertEqual(len(server.requests), BURST + 1)
+            (line,) = [one for one in read() if one["status"] == 429]
+            self.assertEqual(line["reason"], "quota of the workspace is used up")
+            self.assertEqual(line["quota_holder"], "vm-1")
+
+        self.play(scenario)
+
+    def test_request_that_no_server_takes_gives_its_token_back(self):
+        async def scenario(vm, server, read):
+            set_workspace(vm, WORKSPACE)
+            statuses = [
+                (await vm.async_call("read", f"r-{number}", deadline_ms=50)).status
+                for number in range(3 * BURST)
+            ]
+            self.assertEqual(set(statuses), {503})
+
+        self.play(scenario, servers=0)
+
+    def test_workspace_without_a_quota_is_not_limited(self):
+        async def scenario(vm, server, read):
+            set_workspace(vm, Workspace("kiln"))
+            for number in range(3 * BURST):
+                answer = await vm.async_call("read", f"r-{number}")
+                self.assertEqual(answer.status, 200)
+
+        self.play(scenario)
+
+    def test_nothing_listens_while_there_are_no_workspaces(self):
+        async def scenario(vm, server, read):
+            with self.assertRaises(OSError):
+                await anyio.connect_tcp("127.0.0.1", vm.settings.quota_port)
+            vm.publish(configure(version=2))
+            with anyio.fail_after(5.0):
+                while vm.daemon._quotas._tasks is None:
+                    await anyio.sleep(0.05)
+            async with await anyio.connect_tcp("127.0.0.1", vm.settings.quota_port):
+                pass
+
+        self.play(scenario, workspaces=False)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/cardamomtack_platform/test_translation.py
+++ b/tests/cardamomtack_platform/test_translation.py
@@ -328,6 +328,26 @@
         self.assertEqual(result.entry.retry_slack, 56.0)
         self.assertEqual(result.store.address, "10.200.1.7")
 
+    def test_quotas(self):
+        """Guards against a VM that exceeds quotas where no bound allows it."""
+        bounds = "bounds.quotaWindowS=5\nbounds.quotaOver=0.1\nbounds.quotaSlack=20\n"
+        for ports, more, expected in (
+            ("7660,7675", bounds, (7662, 5.0, 0.1, 20.0)),
+            ("7660,7662", "", (7662, 0.0, 0.0, 0.0)),
+            ("7660,7661", "", (0, 0.0, 0.0, 0.0)),
+            ("7660", "", (0, 0.0, 0.0, 0.0)),
+        ):
+            with self.subTest(ports):
+                text = SETTINGS.replace("7660,7675", ports) + more
+                entry = parse_settings(text, "boot.conf").entry
+                read = (
+                    entry.quota_port,
+                    entry.quota_window_s,
+                    entry.quota_over_share,
+                    entry.quota_slack,
+                )
+                self.assertEqual(read, expected)
+
     def test_all_faults_are_reported_with_line_and_name(self):
         text = SETTINGS.replace("10.1.0.35:8144", "10.1.0.35")
         text = text.replace("0.2", "a lot").replace("7660,7675", "70000")
