--- a/packages/cardamomtack/src/cardamomtack/quotas/bucket.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/bucket.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass
 from math import inf
 
@@ -91,7 +90,7 @@
         self._bucket.apply_bounds(quota.rate_per_s, quota.capacity, began_at_s)
         self._held: dict[object, int] = {}
         self._last_number = 0
-        self._numbers: dict[int, deque[int]] = {}
+        self._numbers: dict[int, list[int]] = {}
         self._promises: dict[int, tuple[float, int]] = {}
         self._returned_share = 1.0
         self._schedule = ReturnSchedule()
@@ -167,7 +166,7 @@
         """Drop the turn of a caller, the first of those with its key."""
         del self._promises[number]
         numbers = self._numbers[key]
-        numbers.popleft()
+        del numbers[0]
         if not numbers:
             del self._numbers[key]
 
@@ -224,5 +223,5 @@
         if retry_s < left_s and len(self._promises) < PROMISES_MAX:
             self._last_number += 1
             self._promises[self._last_number] = (now_s + retry_s, key)
-            self._numbers.setdefault(key, deque()).append(self._last_number)
+            self._numbers.setdefault(key, []).append(self._last_number)
         return retry_s
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -28,6 +28,7 @@
 from cardamomtack_daemon.forwarding.call import ForwardedCall
 from cardamomtack_daemon.forwarding.const import (
     FINISH_FACTOR,
+    STOOD_RETRY_AFTER_S,
     SUSPECT_RETRY_AFTER_S,
     UNCONFIGURED_RETRY_AFTER_S,
 )
@@ -210,6 +211,7 @@
         )
         call.quota = quota
         if not quota.is_admitted:
+            self._opener.refused_at_s = self._clock.read_monotonic_s()
             answer = build_quota_refusal(quota.reason, quota.retry_after_s)
             return (answer, None), quota.reason
         try:
@@ -243,8 +245,10 @@
                 self._sender.release_unused(probed)
                 reason = "retry budget is spent"
                 return self._finish(call, result, reason, had_capacity)
-            if call.quota is not None:
-                self._quotas.record_sent(call.quota)
+            if call.quota is not None and not self._quotas.record_sent(call.quota):
+                self._sender.release_unused(probed)
+                reason = "this VM has stood still"
+                return (build_refusal(reason, STOOD_RETRY_AFTER_S), None), reason
             result = _keep_worse(result, await self._hedged.async_send(call, probed))
             had_capacity = not is_near_capacity(probed.server)
             if not self._may_send_again(call, result):
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/const.py
@@ -25,6 +25,7 @@
 """How many other VMs a request is referred to before it waits."""
 
 LINK_IDLE_S: Final = 60.0
+LOG_S: Final = 10.0
 MAINTENANCE_S: Final = 1.0
 METERS_MAX: Final = 2000
 QUOTA_KEY_BYTES: Final = 4
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/gate.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/gate.py
@@ -57,6 +57,8 @@
         Whether the request was sent, or will not be sent.
     is_held : bool
         Whether the holder is told that it still waits for a server.
+    is_void : bool
+        Whether it may not be sent any more, since the VM has stood still meanwhile.
     """
 
     is_admitted: bool
@@ -68,6 +70,7 @@
     reason: str = ""
     is_settled: bool = False
     is_held: bool = False
+    is_void: bool = False
 
     @property
     def age_s(self) -> float:
@@ -75,6 +78,27 @@
         return self.decided_at_s - self.asked_at_s
 
 
+@dataclass(slots=True)
+class QuotaCounts:
+    """How many requests were decided about, and how."""
+
+    admitted_by_holder: int = 0
+    refused_by_holder: int = 0
+    admitted_alone: int = 0
+    refused_alone: int = 0
+
+    def record(self, decision: QuotaDecision) -> None:
+        """Count a decision."""
+        if decision.holder_id and decision.is_admitted:
+            self.admitted_by_holder += 1
+        elif decision.holder_id:
+            self.refused_by_holder += 1
+        elif decision.is_admitted:
+            self.admitted_alone += 1
+        else:
+            self.refused_alone += 1
+
+
 LinkOpener = Callable[[Member], HolderLink | None]
 
 
@@ -99,6 +123,11 @@
         Tells the time.
     random : Random
         Spreads the callers that no holder has decided about.
+
+    Attributes
+    ----------
+    counts : QuotaCounts
+        The decisions since the start.
     """
 
     __slots__ = (
@@ -112,6 +141,7 @@
         "_random",
         "_read_version",
         "_undecided_until_s",
+        "counts",
     )
 
     def __init__(
@@ -135,6 +165,7 @@
         self._random = random
         self._read_version = read_version
         self._undecided_until_s: dict[str, float] = {}
+        self.counts = QuotaCounts()
 
     async def async_admit(
         self, workspace: Workspace, key: int = 0, left_s: float = inf
@@ -159,15 +190,26 @@
             decision = self._decide_here(name, quota, demand, tenure)
         elif not self._is_undecided(name):
             decision = await self._async_decide(name, quota, demand, asked_at_s)
-        if decision is not None:
-            return decision
-        return self._decide_alone(name, quota, asked_at_s)
+        if decision is None:
+            decision = self._decide_alone(name, quota, asked_at_s)
+        self.counts.record(decision)
+        return decision
+
+    def record_sent(self, decision: QuotaDecision) -> bool:
+        """Record that an admitted request goes to a server now.
 
-    def record_sent(self, decision: QuotaDecision) -> None:
-        """Record that an admitted request goes to a server now."""
-        if not decision.is_settled:
-            decision.is_settled = True
-            self._release(decision)
+        Returns
+        -------
+        bool
+            False when it may not go, because its token has become void.
+        """
+        if decision.is_settled:
+            return True
+        if self._has_stood_still(decision):
+            return False
+        decision.is_settled = True
+        self._release(decision)
+        return True
 
     def give_back(self, decision: QuotaDecision) -> None:
         """Give back the token of a request that was not sent and will not be."""
@@ -176,9 +218,7 @@
         decision.is_settled = True
         is_held = decision.is_held
         self._release(decision)
-        age_s = self._clock.read_boot_s() - decision.asked_at_s
-        # A token of a request that was not held may have been replaced since.
-        if not decision.holder_id or (age_s > 2.0 * TOKEN_VALID_S and not is_held):
+        if not decision.holder_id or (not is_held and self._has_stood_still(decision)):
             return
         if decision.holder_id == self._holders.run[0]:
             self._ledger.refund(decision.workspace, 1)
@@ -327,10 +367,20 @@
 
     def _hold(self, decision: QuotaDecision) -> None:
         """Tell the holder that a request still waits for a server."""
-        if not decision.is_settled:
+        if not decision.is_settled and not self._has_stood_still(decision):
             decision.is_held = True
             self._change_held(decision, 1)
 
+    def _has_stood_still(self, decision: QuotaDecision) -> bool:
+        """Return whether the VM could not tell the holder of a request in time.
+
+        Others may have got the tokens that have been added since.
+        """
+        if decision.holder_id and not decision.is_held:
+            age_s = self._clock.read_boot_s() - decision.asked_at_s
+            decision.is_void = decision.is_void or age_s > 2.0 * TOKEN_VALID_S
+        return decision.is_void
+
     def _release(self, decision: QuotaDecision) -> None:
         """Tell the holder that a request no longer waits for a server."""
         if decision.is_held:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/service.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import asdict, replace
 from random import Random
 
 from anyio import Event, create_task_group, create_tcp_listener, sleep
@@ -20,8 +21,8 @@
 from cardamomtack_daemon.forwarding.const import FLEET_VMS_ASSUMED
 from cardamomtack_daemon.forwarding.settings import EntrySettings
 from cardamomtack_daemon.quotas.claims import HolderClaims
-from cardamomtack_daemon.quotas.const import MAINTENANCE_S
-from cardamomtack_daemon.quotas.gate import QuotaGate
+from cardamomtack_daemon.quotas.const import LOG_S, MAINTENANCE_S
+from cardamomtack_daemon.quotas.gate import QuotaCounts, QuotaGate
 from cardamomtack_daemon.quotas.link import HolderLink
 from cardamomtack_daemon.quotas.server import QuotaServer
 
@@ -146,10 +147,17 @@
         tasks.start_soon(self._claims.async_claim)
 
     async def _async_maintain(self) -> None:
-        """Drop what has grown old."""
+        """Drop what has grown old, and log how many decisions there were."""
+        logged = QuotaCounts()
+        log_at_s = 0.0
         while True:
             await sleep(MAINTENANCE_S)
-            self._ledger.drop_idle(self._clock.read_monotonic_s())
+            now_s = self._clock.read_monotonic_s()
+            if now_s >= log_at_s and self.gate.counts != logged:
+                log_at_s = now_s + LOG_S
+                logged = replace(self.gate.counts)
+                logger.bind(**asdict(logged)).info("quotas decided")
+            self._ledger.drop_idle(now_s)
             for vm_id, link in list(self._links.items()):
                 if link.is_ended:
                     del self._links[vm_id]
--- a/tests/cardamomtack_daemon/quotas/test_asking.py
+++ b/tests/cardamomtack_daemon/quotas/test_asking.py
@@ -119,6 +119,12 @@
             link._spare.add(SLOW.name, 1, second.read_boot_s())
             second.offset_s = 10.0
             self.assertIsNone(link.take_spare(SLOW.name))
+            second.offset_s = 0.0
+            await anyio.sleep(0.5)
+            (decision,) = await second.async_ask(SLOW)
+            second.offset_s = 10.0
+            self.assertTrue(decision.is_admitted)
+            self.assertFalse(second.gate.record_sent(decision))
 
         self.play(scenario)
 
