Start VMs with one call to the store where others know the topics

Cause: a VM that starts wrote its record, read those of all VMs and read each topic, four calls and more with what followed, although its record was there and the others knew the topics.

Change: it reads the records first, and writes only where its own is missing or names another place. It then asks up to three VMs for the topics, which learn of its run from that, and reads the store itself if it is a reader, alone, or not told within 80 ms. A member carries the start of its run (optional field started_ms), so that the record of an earlier run does not take the place of the one that runs.

--- a/packages/cardamomtack/src/cardamomtack/replicas/members.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/members.py
@@ -14,6 +14,8 @@
 from math import ceil
 from random import Random
 
+from msgspec import structs
+
 from cardamomtack.generated.relay import Member
 from cardamomtack.helpers.decoding import (
     PORT_MAX,
@@ -71,7 +73,7 @@
             return True
         if run in self._gone:
             return False
-        if known is not None and known.incarnation == member.incarnation:
+        if known is not None and not _is_newer_run(member, known):
             return False
         self._members[member.vm_id] = member
         self.mark_reachable(member.vm_id)
@@ -166,6 +168,28 @@
         return zones
 
 
+def is_same_place(member: Member, other: Member) -> bool:
+    """Return whether two runs of a VM are reached and ranked alike."""
+    aligned = structs.replace(
+        other, incarnation=member.incarnation, started_ms=member.started_ms
+    )
+    return member == aligned
+
+
+def _is_newer_run(member: Member, known: Member) -> bool:
+    """Return whether news of a VM tell of another run than the one that is known.
+
+    The store may name an earlier run, since a VM that starts again at the same place
+    does not write its record again.
+    """
+    if member.incarnation == known.incarnation:
+        return False
+    if not member.started_ms or not known.started_ms:
+        return True
+    is_earlier = member.started_ms < known.started_ms
+    return not (is_earlier and is_same_place(member, known))
+
+
 def _is_sound(member: Member) -> bool:
     """Return whether a VM can be connected to, and named in a log."""
     try:
--- a/packages/cardamomtack/src/cardamomtack/replicas/replica_set.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/replica_set.py
@@ -18,7 +18,7 @@
 from cardamomtack.replicas.feed import TopicFeed
 from cardamomtack.replicas.packing import PagePacker, unpack_page
 from cardamomtack.replicas.peer_clock import PeerClock
-from cardamomtack.replicas.topic import START_NEWEST, TopicReplica
+from cardamomtack.replicas.topic import END_UNKNOWN, START_NEWEST, TopicReplica
 
 
 class ReplicaSet:
@@ -72,6 +72,10 @@
             page = unpack_page(packed, replica.values.find)
             replica.apply_records(page, vm_id)
 
+    def is_known(self) -> bool:
+        """Return whether something is known of every topic."""
+        return all(replica.end != END_UNKNOWN for replica in self._replicas.values())
+
     def is_stale(self) -> bool:
         """Return whether the store has not confirmed a topic for too long."""
         now_s = self._clock.read_boot_s()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -70,6 +70,7 @@
 from cardamomtack_daemon.replicas.registration import MembershipRegistration
 from cardamomtack_daemon.replicas.relay import TopicRelay
 from cardamomtack_daemon.replicas.source import MemberDirectory, TopicSource
+from cardamomtack_daemon.replicas.start import StartGate
 from cardamomtack_daemon.tunnels.changes import WayChanges
 from cardamomtack_daemon.tunnels.dialer import ServerDialer
 from cardamomtack_daemon.tunnels.server import TunnelServer
@@ -150,6 +151,7 @@
         "_sender",
         "_servers_reader",
         "_settings",
+        "_start_gate",
         "_stopped",
         "_tunnels",
         "_writer",
@@ -201,6 +203,7 @@
             settings.relay_port,
             link_mbps=settings.link_mbps,
             tunnel_port=settings.tunnel_port,
+            started_ms=clock.read_epoch_ms(),
         )
         configuration = TopicReplica(TOPIC_CONFIGURATION, sources.configuration_order)
         # A VM that takes requests knows the zones to which it must not send them.
@@ -231,12 +234,14 @@
         )
         self._replicas = [configuration, servers]
         self._relay = TopicRelay(self._members, self._replicas, self, clock, random)
+        self._start_gate = StartGate(self._relay)
         self._membership = MembershipRegistration(
             self._members,
             sources.members,
             self._relay.apply_members,
             self._relay.is_root,
             random,
+            self._start_gate.record_attempt,
         )
         for replica in self._replicas:
             replica.add_history_listener(self._membership.mark_restored)
@@ -373,7 +378,8 @@
         """Start all tasks."""
         settings = self._settings
         for reader in self._readers:
-            tasks.start_soon(reader.async_follow)
+            tasks.start_soon(self._async_follow, reader)
+        tasks.start_soon(self._start_gate.async_run)
         # Other VMs hear of this one when it can already be reached.
         await tasks.start(
             self._relay.async_serve, settings.address, settings.relay_port
@@ -393,6 +399,11 @@
         tasks.start_soon(self._async_maintain)
         tasks.start_soon(async_watch_clock, self._clock, self._wake)
 
+    async def _async_follow(self, reader: TopicReader) -> None:
+        """Follow a topic, once other VMs have had the time to tell it."""
+        await self._start_gate.async_wait()
+        await reader.async_follow()
+
     async def _async_join(self) -> None:
         """Learn of the other VMs, share the budgets with them, and stay known."""
         await self._membership.async_join()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/const.py
@@ -18,6 +18,19 @@
 DIAL_TIMEOUT_S: Final = 0.6
 FRESHNESS_GAP_S: Final = 0.05
 FRESHNESS_S: Final = 0.5
+HEAR_S: Final = 0.08
+"""For how long a VM that starts waits for others before it reads the store itself."""
+
+HEAR_S_MAX: Final = 0.5
+"""The same while another VM is telling it, or has not told how fresh that is."""
+
+HEAR_TURN_S: Final = 0.02
+"""After how long without an answer the next VM is asked beside the last one."""
+
+HEAR_VMS_MAX: Final = 3
+LISTED_WAIT_S: Final = 0.1
+"""For how long a VM that starts waits for the list of the others."""
+
 NEED_CHECK_S: Final = 0.2
 OUTBOX_MAX: Final = 512
 POLL_WAIT_S: Final = 1.0
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/registration.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/registration.py
@@ -1,4 +1,8 @@
-"""Makes this VM known at the store and learns of the others there."""
+"""Makes this VM known at the store and learns of the others there.
+
+Calls to the store are paid, so a VM that starts again where its record says writes
+nothing: the others learn of its run from the first of them that it asks.
+"""
 
 from __future__ import annotations
 
@@ -11,7 +15,7 @@
 
 from cardamomtack.generated.relay import Member
 from cardamomtack.helpers.decoding import DECODE_ERRORS
-from cardamomtack.replicas.members import MemberTable
+from cardamomtack.replicas.members import MemberTable, is_same_place
 from cardamomtack_daemon.replicas.const import (
     BACKOFF_S_MAX,
     BACKOFF_S_MIN,
@@ -28,10 +32,10 @@
 
 
 class MembershipRegistration:
-    """Writes the record of this VM, then reads those of all.
+    """Reads the records of all VMs, and writes that of this one where it is missing.
 
-    Two VMs that start together find each other, because the one that writes later
-    reads the record of the other.
+    Two VMs that start together for the first time find each other, because each reads
+    after it has written, and the one that writes later finds the other.
 
     Parameters
     ----------
@@ -45,6 +49,9 @@
         Returns whether this VM hears from no other.
     random : Random
         Spreads the attempts of the VMs after an outage.
+    record_attempt : callable
+        Is told whether others may be known now: after a failure that they are not,
+        else once there are some or there is none.
 
     Attributes
     ----------
@@ -59,6 +66,7 @@
         "_is_root",
         "_members",
         "_random",
+        "_record_attempt",
         "_restored",
         "has_joined",
     )
@@ -70,7 +78,9 @@
         apply_members: Callable[[list[Member]], None],
         is_root: Callable[[], bool],
         random: Random,
+        record_attempt: Callable[[bool], None] = lambda is_listed: None,
     ) -> None:
+        self._record_attempt = record_attempt
         self._apply_members = apply_members
         self._is_root = is_root
         self._directory = directory
@@ -102,20 +112,21 @@
             else:
                 pause_s = ROOT_PAUSE_S_MIN
                 continue
-            await self._async_join(is_written=True)
+            await self._async_join(is_first=False)
 
     async def async_join(self) -> None:
-        """Write and read once, as soon as the store allows it."""
-        await self._async_join(is_written=False)
+        """Read once, as soon as the store allows it, and write where that is needed."""
+        await self._async_join(is_first=True)
 
-    async def _async_join(self, is_written: bool) -> None:
+    async def _async_join(self, is_first: bool) -> None:
         """Read the records of all VMs, and write that of this one while it is missing.
 
         Parameters
         ----------
-        is_written : bool
-            Whether the record of this VM is probably there.
+        is_first : bool
+            Whether the VM starts, and others may wait for its record.
         """
+        is_written = True
         own = self._members.own
         record = msgpack.encode(own)
         backoff_s = BACKOFF_S_MIN
@@ -129,13 +140,19 @@
                 records = await self._directory.async_read_members(READ_TIMEOUT_S)
             except StoreError as error:
                 logger.bind(error=str(error)).warning("VMs can't be read")
+                self._record_attempt(False)
             else:
-                self._take(records)
-                is_written = record in records
+                is_written = self._take(records)
+                # In a fleet that starts for the first time, the others write just now.
+                if is_written or self._members.count > 1:
+                    self._record_attempt(True)
                 if is_written:
                     self.has_joined = True
                     logger.bind(vms=self._members.count).info("VMs are known")
                     return
+                if is_first:
+                    is_first = False
+                    continue
             await sleep(backoff_s * self._random.uniform(0.5, 1.0))
             backoff_s = min(BACKOFF_S_MAX, 2.0 * backoff_s)
 
@@ -150,8 +167,13 @@
         except StoreError as error:
             logger.bind(error=str(error)).warning("record of this VM stays")
 
-    def _take(self, records: list[bytes]) -> None:
-        """Apply the records of other VMs."""
+    def _take(self, records: list[bytes]) -> bool:
+        """Apply the records of other VMs, and return whether one is that of this VM.
+
+        One of an earlier run is, if that run was reached and ranked as this one is. A
+        record without its start can't be told from a later one by the other VMs.
+        """
+        own = self._members.own
         members = []
         for record in records:
             try:
@@ -159,3 +181,7 @@
             except DECODE_ERRORS:
                 logger.warning("the record of a VM can't be used")
         self._apply_members(members)
+        return any(
+            one.vm_id == own.vm_id and one.started_ms > 0 and is_same_place(one, own)
+            for one in members
+        )
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from random import Random
 from typing import Protocol
 
@@ -47,6 +48,10 @@
     DIAL_TIMEOUT_S,
     FRESHNESS_GAP_S,
     FRESHNESS_S,
+    HEAR_S,
+    HEAR_S_MAX,
+    HEAR_TURN_S,
+    HEAR_VMS_MAX,
     SILENCE_S_MAX,
     SLACK_S_MAX,
     SLACK_TRIAL_S,
@@ -82,6 +87,40 @@
         """Return what a VM that was not heard of may have missed."""
 
 
+class _Hearing:
+    """The VMs that are asked at the start.
+
+    Attributes
+    ----------
+    answering : int
+        Those that have begun to answer and have not ended.
+    asked : int
+        Those that have not ended.
+    has_answer : bool
+        Whether one has begun to answer, and knows of this run.
+    """
+
+    __slots__ = ("_changed", "answering", "asked", "has_answer")
+
+    def __init__(self) -> None:
+        self._changed = Event()
+        self.answering = 0
+        self.asked = 0
+        self.has_answer = False
+
+    def mark_changed(self) -> None:
+        """Note that a VM has begun to answer, or has ended."""
+        self._changed.set()
+        self._changed = Event()
+
+    async def async_wait(self, timeout_s: float) -> bool:
+        """Wait for the next change, and return whether there was one."""
+        changed = self._changed
+        with move_on_after(timeout_s):
+            await changed.wait()
+        return changed.is_set()
+
+
 class TopicRelay:
     """Serves subscribers and hears from one upstream VM.
 
@@ -102,6 +141,7 @@
     __slots__ = (
         "_clock",
         "_confirmed",
+        "_has_others",
         "_listener",
         "_members",
         "_notices",
@@ -124,6 +164,7 @@
         self._random = random
         self._clock = clock
         self._confirmed = Event()
+        self._has_others = Event()
         self._members = members
         self._notices: OrderedDict[str, CrashNotice] = OrderedDict()
         self._replicas = ReplicaSet(replicas, clock)
@@ -188,7 +229,82 @@
             now_s = self._clock.read_monotonic_s()
             upstream = self._members.choose_upstream(now_s)
             if upstream is None or not await self._async_subscribe_to(upstream):
-                await sleep(DIAL_PAUSE_S)
+                await self._async_pause()
+
+    async def _async_pause(self) -> None:
+        """Wait before the next attempt; at the start, until others are known."""
+        if self._has_others.is_set():
+            await sleep(DIAL_PAUSE_S)
+            return
+        with move_on_after(DIAL_PAUSE_S):
+            await self._has_others.wait()
+
+    async def async_hear(self) -> None:
+        """Ask one VM after the other until the topics are known, at the start.
+
+        One that is slow to answer does not hold the next one up. Each learns of this
+        run, and tells the others.
+        """
+        others = self._choose_first()
+        hearing = _Hearing()
+        silent_turns = 0
+        is_silent = False
+        async with create_task_group() as tasks:
+            while self._replicas.is_stale() or not hearing.has_answer:
+                # Turns are counted, so that a process that was held up still looks
+                # at what has arrived meanwhile.
+                is_told = hearing.answering or self._replicas.is_known()
+                wait_s = HEAR_S_MAX if is_told else HEAR_S
+                if silent_turns >= wait_s / HEAR_TURN_S:
+                    break
+                # Where one has started, too, the next probably knows nothing either.
+                is_promising = is_silent or not hearing.has_answer
+                if others and is_promising and not hearing.answering:
+                    tasks.start_soon(self._async_hear_from, others.pop(0), hearing)
+                elif not hearing.asked and not self._can_hear():
+                    break
+                is_silent = not await hearing.async_wait(HEAR_TURN_S)
+                silent_turns += is_silent
+            tasks.cancel_scope.cancel()
+
+    def is_reader(self) -> bool:
+        """Return whether this VM reads the store for others."""
+        return self._members.is_reader(self._clock.read_monotonic_s())
+
+    def _choose_first(self) -> list[Member]:
+        """Return the VMs to ask at the start, first the one to hear from later on."""
+        others = self._members.list_members()[1:]
+        chosen = self._random.sample(others, min(HEAR_VMS_MAX, len(others)))
+        upstream = self._members.choose_upstream(self._clock.read_monotonic_s())
+        if upstream is not None:
+            chosen = [upstream, *(one for one in chosen if one is not upstream)]
+        return chosen[:HEAR_VMS_MAX]
+
+    def _can_hear(self) -> bool:
+        """Return whether other VMs read the store for this one."""
+        return self._members.count > 1 and not self.is_reader()
+
+    async def _async_hear_from(self, other: Member, hearing: _Hearing) -> None:
+        """Ask one VM at the start."""
+        hearing.asked += 1
+        is_answering = False
+
+        def begin() -> None:
+            nonlocal is_answering
+            if not is_answering:
+                is_answering = True
+                hearing.answering += 1
+                hearing.has_answer = True
+                hearing.mark_changed()
+
+        try:
+            await self._async_ask(other, begin)
+        except RELAY_ERRORS as error:
+            logger.bind(vm=other.vm_id, error=repr(error)).debug("VM not heard")
+        finally:
+            hearing.asked -= 1
+            hearing.answering -= is_answering
+            hearing.mark_changed()
 
     async def async_ask_others(self) -> None:
         """Ask one VM after the other what it knows, while this one knows nothing fresh.
@@ -207,9 +323,16 @@
             except RELAY_ERRORS as error:
                 logger.bind(vm=other.vm_id, error=repr(error)).debug("VM not heard")
 
-    async def _async_ask(self, other: Member) -> None:
+    async def _async_ask(
+        self, other: Member, record_message: Callable[[], None] = lambda: None
+    ) -> None:
         """Take what a VM knows at the moment, up to how fresh it is.
 
+        Parameters
+        ----------
+        record_message : callable
+            Is called with each message that has arrived.
+
         Raises
         ------
         OSError
@@ -226,6 +349,7 @@
             is_told = False
             while not is_told:
                 message = await messages.async_receive(SILENCE_S_MAX)
+                record_message()
                 self._handle_message(message, None, other.vm_id)
                 if message.freshness is not None:
                     self._replicas.apply_freshness(
@@ -379,6 +503,7 @@
         """Apply news of VMs and forward what is new."""
         new = [member for member in members if self._members.update_member(member)]
         if new:
+            self._has_others.set()
             self._forward(RelayMessage(members=Members(new)), source)
 
     def _apply_limits(self, limits: list[ServerLimit], source: Outbox | None) -> None:
--- a/tests/cardamomtack/replicas/test_members.py
+++ b/tests/cardamomtack/replicas/test_members.py
@@ -6,6 +6,8 @@
 import unittest
 from collections import Counter
 
+from msgspec import structs
+
 from cardamomtack.generated.relay import Member
 from cardamomtack.replicas.members import MemberTable
 
@@ -31,6 +33,37 @@
     return tables
 
 
+class RunTest(unittest.TestCase):
+    """News of the runs of a VM, which come out of turn."""
+
+    def setUp(self):
+        self.table = MemberTable(make_member(0))
+        self.first = structs.replace(make_member(1), started_ms=1000)
+        self.second = structs.replace(self.first, incarnation="2", started_ms=2000)
+        self.assertTrue(self.table.update_member(self.second))
+
+    def find(self):
+        """Return what is known of the VM."""
+        return self.table.list_members()[1]
+
+    def test_record_of_an_earlier_run_takes_the_place_of_the_one_that_runs(self):
+        self.assertFalse(self.table.update_member(self.first))
+        self.assertEqual(self.find(), self.second)
+        third = structs.replace(self.first, incarnation="3", started_ms=3000)
+        self.assertTrue(self.table.update_member(third))
+        self.assertEqual(self.find(), third)
+
+    def test_vm_whose_clock_went_back_is_not_found_at_its_new_address(self):
+        moved = structs.replace(self.first, address="10.0.9.9")
+        self.assertTrue(self.table.update_member(moved))
+        self.assertEqual(self.find(), moved)
+
+    def test_vm_that_is_set_back_to_a_build_without_starts_is_not_known(self):
+        older = structs.replace(self.first, started_ms=0)
+        self.assertTrue(self.table.update_member(older))
+        self.assertTrue(self.table.update_member(self.second))
+
+
 class ReadersTest(unittest.TestCase):
     """The choice of readers and of the VM to hear from."""
 
