Bound what callers and slow readers make a VM hold

A pipelined request was answered before the response in front of it was taken. Fields of heads took 160 bytes each beside their bytes and were not counted, nor were parts of bodies.

Responses are counted at the connections of servers and of callers; a long one is passed on earlier, and then waits, when the share is used; the slowest reader is closed first. Large heads and requests behind another have a share, beyond which they get 503 before they are run. Small parts of bodies are joined. A connection is read at most 64 KiB at once, and socket buffers are bounded. The next request of a connection waits until the response before it is taken; a caller that takes nothing for the idle time is closed.

The forwarding tests were not run to their end.

--- /dev/null
+++ b/packages/cardamomtack/src/cardamomtack/memory/__init__.py
@@ -0,0 +1,1 @@
+"""What a VM may hold for callers, servers and tunnels."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -20,6 +20,7 @@
 from cardamomtack_daemon.http1.body import BodyAbortedError
 from cardamomtack_daemon.http1.client import BrokenAnswerError, ServerConnection
 from cardamomtack_daemon.http1.messages import HttpAnswer
+from cardamomtack_daemon.http1.responses import ResponseMemory
 from cardamomtack_daemon.pool import ConnectionPool
 
 NO_RATE_LIMIT = -1.0
@@ -214,6 +215,8 @@
         Hears the limits of servers.
     clock : Clock
         Tells the time.
+    memory : ResponseMemory or None
+        Counts what is held of answers.
     """
 
     __slots__ = (
@@ -222,6 +225,7 @@
         "_crash_tracker",
         "_digests",
         "_limits",
+        "_memory",
         "_pool",
         "_prober",
         "_release_connection",
@@ -237,8 +241,10 @@
         report_crash: Callable[[str, list[bytes]], None],
         limits: SharedLimits,
         clock: Clock,
+        memory: ResponseMemory | None = None,
     ) -> None:
         self._limits = limits
+        self._memory = memory
         self._prober = prober
         self._clock = clock
         self._connections: set[ServerConnection] = set()
@@ -271,6 +277,7 @@
         send.server.record_send()
         self._digests.setdefault(send.server.vm_id, []).append(send.call.digest)
         self._connections.add(send.connection)
+        send.connection.memory = self._memory
 
     def end(self, send: ServerSend) -> None:
         """Record that a send has ended; a connection that isn't clean is closed."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/body.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/body.py
@@ -5,6 +5,9 @@
 from cardamomtack_daemon.http1.body import BodyMemory
 from cardamomtack_daemon.http1.messages import HttpRequest
 
+PART_OVERHEAD_BYTES = 64
+"""What a part of a body takes in memory beside its bytes."""
+
 REPLAY_BYTES_MAX = 1_048_576
 """Longest body that is kept for a second server."""
 
@@ -76,7 +79,7 @@
         """Keep a part for another server, or nothing of the body from now on."""
         if not self.is_kept:
             return
-        size = len(part)
+        size = len(part) + PART_OVERHEAD_BYTES
         has_room = self._kept_bytes + size <= REPLAY_BYTES_MAX
         if has_room and self._memory.reserve(size):
             self._kept_bytes += size
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/const.py
@@ -12,7 +12,6 @@
 BALANCER_NOTICE_SHARE_MAX: Final = 0.5
 """Share of a short grace period for which requests are taken."""
 
-CALLER_CONNECTIONS_MAX: Final = 3000
 CLOCK_CHECK_S: Final = 0.25
 CLOCK_JUMP_S: Final = 0.4
 DRAIN_CHECK_S: Final = 0.05
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -24,6 +24,8 @@
 )
 from cardamomtack.helpers.clock import MS_PER_S, Clock
 from cardamomtack.limits.coordinator import LimitCoordinator
+from cardamomtack.memory.budget import MemoryBudget, ResponseBudget
+from cardamomtack.memory.shares import divide_descriptors, divide_memory
 from cardamomtack.placing.chooser import PlacementChooser
 from cardamomtack.placing.server import ServerView
 from cardamomtack.quarantine.tracker import CrashTracker
@@ -39,7 +41,6 @@
 from cardamomtack_daemon.forwarding.const import (
     BALANCER_NOTICE_S,
     BALANCER_NOTICE_SHARE_MAX,
-    CALLER_CONNECTIONS_MAX,
     DRAIN_CHECK_S,
     EXIT_MARGIN_S,
     FLEET_VMS_ASSUMED,
@@ -59,6 +60,7 @@
 from cardamomtack_daemon.forwarding.suspension import async_watch_clock
 from cardamomtack_daemon.http1.body import BodyMemory
 from cardamomtack_daemon.http1.connection import ConnectionLimits
+from cardamomtack_daemon.http1.responses import ResponseMemory
 from cardamomtack_daemon.http1.server import CallerServer
 from cardamomtack_daemon.logs import DecisionLog, LogLineWriter
 from cardamomtack_daemon.pool import ConnectionPool
@@ -75,6 +77,7 @@
 GC_THRESHOLD = 20_000
 IDLE_S = 15.0
 READINESS_CONNECTIONS_MAX = 50
+READINESS_HEAD_BYTES_MAX = 4096
 
 INCARNATION_BITS = 64
 
@@ -120,6 +123,8 @@
     ----------
     memory : BodyMemory
         What is held of the bodies of requests.
+    responses : ResponseMemory
+        What is held of responses.
     """
 
     __slots__ = (
@@ -150,6 +155,7 @@
         "_tunnels",
         "_writer",
         "memory",
+        "responses",
     )
 
     def __init__(
@@ -242,10 +248,16 @@
         settings = self._settings
         clock = self._clock
         self.memory = BodyMemory(settings.body_memory_bytes)
+        memory = divide_memory(settings.memory_bytes)
+        descriptors = divide_descriptors(settings.descriptors)
+        self.responses = ResponseMemory(
+            ResponseBudget(memory.responses_bytes, clock), clock
+        )
+        self._pool.idle_max = descriptors.idle_servers
         chooser = PlacementChooser(random, settings.availability_zone)
         ways = DirectWays(self._registry, WayChanges(self._registry, self._pool), clock)
         tester = WayTester(self._pool.async_open, ways, clock, random)
-        self._tunnels = TunnelServer(self._registry, ways, tester)
+        self._tunnels = TunnelServer(self._registry, ways, tester, descriptors.tunnels)
         self._dialer = ServerDialer(
             self._pool.async_open,
             ways,
@@ -270,6 +282,7 @@
             self._report_crash,
             self._limits,
             clock,
+            self.responses,
         )
         decisions = DecisionRecorder(
             DecisionLog(self._writer, clock),
@@ -295,13 +308,17 @@
         )
         self._caller_limits = ConnectionLimits(
             BODY_BYTES_MAX,
-            CALLER_CONNECTIONS_MAX,
+            descriptors.callers,
             IDLE_S,
             cancels_abandoned=True,
             memory=self.memory,
+            heads=MemoryBudget(memory.heads_bytes),
+            responses=self.responses,
         )
         self._callers = CallerServer(self._forwarder, self._caller_limits, clock)
         readiness_limits = ConnectionLimits(0, READINESS_CONNECTIONS_MAX, IDLE_S)
+        readiness_limits.head_bytes_max = READINESS_HEAD_BYTES_MAX
+        readiness_limits.head_s = HEAD_MARGIN_S + IDLE_MARGIN_S
         handler = ReadinessHandler(self.is_ready)
         self._readiness = CallerServer(handler, readiness_limits, clock)
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/settings.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/settings.py
@@ -30,6 +30,10 @@
         request of a connection is a first send.
     tunnel_port : int
         Port at which servers are reached for other VMs; 0 for none.
+    memory_bytes : int
+        Memory of the VM, of which shares bound what is held of heads and responses.
+    descriptors : int
+        Descriptors of the process, of which shares bound its connections.
     grace_s : float
         Time between SIGTERM and SIGKILL, in seconds.
     link_mbps : float
@@ -51,3 +55,5 @@
     grace_s: float
     link_mbps: float = 0.0
     tunnel_port: int = 0
+    memory_bytes: int = 200_000_000
+    descriptors: int = 8192
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/body.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/body.py
@@ -12,11 +12,16 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from cardamomtack.memory.budget import MemoryBudget
+
 BODY_WINDOW_BYTES = 65_536
 """What is held of a long body that a server takes before its caller has to wait."""
 
-READ_BYTES_MAX = 262_144
-"""Most that the event loop reads of a connection at once."""
+READ_BYTES_MAX = 65_536
+"""Most that is read of a connection at once."""
+
+SMALL_PART_BYTES = 4096
+"""Parts of a body that are smaller are joined, as each costs memory of its own."""
 
 WAITING_BYTES_MAX = 1_048_576
 """What may arrive of a long body that no server takes yet.
@@ -42,36 +47,10 @@
         """
 
 
-class BodyMemory:
-    """Bounds the bytes of bodies that this VM holds.
-
-    Parameters
-    ----------
-    limit_bytes : int
-        Most that all bodies may hold together.
+class BodyMemory(MemoryBudget):
+    """Bounds the bytes of bodies that this VM holds."""
 
-    Attributes
-    ----------
-    held_bytes : int
-        What is reserved now.
-    """
-
-    __slots__ = ("held_bytes", "limit_bytes")
-
-    def __init__(self, limit_bytes: int) -> None:
-        self.held_bytes = 0
-        self.limit_bytes = limit_bytes
-
-    def reserve(self, size: int) -> bool:
-        """Return whether so many more bytes may be held, and reserve them."""
-        if self.held_bytes + size > self.limit_bytes:
-            return False
-        self.held_bytes += size
-        return True
-
-    def release(self, size: int) -> None:
-        """Give back what was reserved."""
-        self.held_bytes -= size
+    __slots__ = ()
 
 
 class BodyStream:
@@ -106,6 +85,7 @@
         "_memory",
         "_reserved_bytes",
         "_size",
+        "_tail",
         "_update_reading",
         "_waiter",
         "has_ended",
@@ -127,6 +107,7 @@
         self._memory = memory
         self._reserved_bytes = reserved_bytes
         self._size = 0
+        self._tail = bytearray()
         self._update_reading = update_reading
         self._waiter: Future[None] | None = None
         self.has_ended = False
@@ -146,8 +127,10 @@
         """Take a part that has arrived."""
         if self._is_discarding:
             return
-        self._chunks.append(chunk)
         self._size += len(chunk)
+        self._tail += chunk
+        if len(self._tail) >= SMALL_PART_BYTES:
+            self._end_part()
         self._wake()
 
     def finish(self) -> None:
@@ -164,6 +147,7 @@
         """Drop the rest, whose request has already been answered."""
         self._is_discarding = True
         self._chunks.clear()
+        self._tail.clear()
         self._size = 0
         self._release()
         self._update_reading()
@@ -177,10 +161,12 @@
             When the rest will not arrive.
         """
         self._is_taken = True
-        while not self._chunks:
+        while not self._chunks and not self._tail:
             await self._async_wait()
-            if self.has_ended and not self._chunks:
+            if self.has_ended and not self._chunks and not self._tail:
                 return None
+        if not self._chunks:
+            self._end_part()
         chunk = self._chunks.popleft()
         self._size -= len(chunk)
         self._release()
@@ -216,6 +202,11 @@
         finally:
             self._waiter = None
 
+    def _end_part(self) -> None:
+        """Take what has arrived since the last part as a part."""
+        self._chunks.append(bytes(self._tail))
+        self._tail.clear()
+
     def _reserve(self, size: int) -> bool:
         """Return whether so many bytes may be held, and reserve what is missing."""
         missing = size - self._reserved_bytes - self._extra_bytes
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -6,7 +6,13 @@
 
 from __future__ import annotations
 
-from asyncio import BaseTransport, Future, Protocol, Transport, get_running_loop
+from asyncio import (
+    BaseTransport,
+    BufferedProtocol,
+    Future,
+    Transport,
+    get_running_loop,
+)
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
@@ -29,11 +35,15 @@
     EndlessAnswerError,
 )
 from cardamomtack_daemon.http1.messages import HttpAnswer
+from cardamomtack_daemon.http1.receiving import RECEIVE_BUFFER, bound_socket_buffers
+from cardamomtack_daemon.http1.responses import SMALL_BYTES, ResponseMemory
 
 INFORMATIONAL_STATUS_MAX = 199
 KEEPALIVE_PROBES_MAX = 2
 KEEPALIVE_S = 1
-STREAM_BUFFER_BYTES_MAX = 262_144
+STREAM_BUFFER_BYTES_MAX = 65_536
+"""What is read ahead of a long answer; the kernel reads ahead as well."""
+
 UNACKNOWLEDGED_MS_MAX = 2500
 
 
@@ -53,7 +63,7 @@
         self.is_cut = is_cut
 
 
-class ServerConnection(Protocol):
+class ServerConnection(BufferedProtocol):
     """A connection to a backend server.
 
     Parameters
@@ -71,6 +81,8 @@
         Whether any byte of a request may have left.
     is_receive_cancelled : bool
         Whether nobody waits for the answer any more.
+    memory : ResponseMemory or None
+        Counts what is held of answers; None where they are not passed on.
     requests : int
         Requests that were sent so far.
     """
@@ -82,6 +94,7 @@
         "_can_write",
         "_collector",
         "_fault",
+        "_held_bytes",
         "_is_aborted",
         "_is_busy",
         "_is_cut",
@@ -95,6 +108,7 @@
         "has_sent",
         "is_receive_cancelled",
         "is_reusable",
+        "memory",
         "opened_at_s",
         "requests",
         "used_at_s",
@@ -107,6 +121,7 @@
         self._can_write: Future[None] | None = None
         self._collector = AnswerCollector()
         self._fault: str | None = None
+        self._held_bytes = 0
         self._is_aborted = False
         self._is_busy = False
         self._is_cut = False
@@ -120,6 +135,7 @@
         self.has_sent = False
         self.is_receive_cancelled = False
         self.is_reusable = True
+        self.memory: ResponseMemory | None = None
         self.opened_at_s = now_s
         self.requests = 0
         self.used_at_s = now_s
@@ -128,6 +144,14 @@
         """Keep the transport."""
         self._transport = cast("Transport", transport)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the event loop puts what it reads, which bounds each read."""
+        return RECEIVE_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take what the event loop has read."""
+        self.data_received(bytes(RECEIVE_BUFFER[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse what arrives; bytes that belong to no request end the connection.
 
@@ -150,10 +174,11 @@
                 self._fault = f"malformed answer: {error}"
         new_chunks = len(collector.chunks) - known_chunks
         self._buffered_bytes += len(data) + CHUNK_OVERHEAD_BYTES * new_chunks
+        self._hold(self._buffered_bytes)
         self._check_head()
         if self._fault is not None or collector.surplus:
             self.abort()
-        elif self._has_long_body(self._buffer_bytes_max) and self._transport:
+        elif self._has_long_body() and self._transport:
             self._is_paused = True
             self._transport.pause_reading()
         self._wake()
@@ -174,6 +199,8 @@
         """Note that the connection is gone."""
         self._is_cut = True
         self.is_reusable = False
+        if not self._is_busy:
+            self._hold(0)
         self.resume_writing()
         self._wake()
 
@@ -230,6 +257,7 @@
         self._accepts_unframed = accepts_unframed
         self._collector = AnswerCollector(check)
         self._buffered_bytes = 0
+        self._hold(0)
         self._is_head = is_head
         self._is_busy = True
         self._is_sending = not is_whole
@@ -269,7 +297,7 @@
         """
         self._buffer_bytes_max = buffer_bytes_max
         self._resume()
-        if not await self._async_wait_for_body(buffer_bytes_max, timeout_s):
+        if not await self._async_wait_for_body(timeout_s):
             return None
         collector = self._collector
         status = collector.parser.get_status_code()
@@ -293,6 +321,9 @@
             if self._collector.has_ended:
                 self._note_end()
                 return None
+            if self._is_paused and self.memory is not None:
+                await self.memory.async_wait_for_room()
+                self._resume()
             await self._async_wait()
         return self._take_body()
 
@@ -317,12 +348,11 @@
         """Close the connection; an answer that still arrives is dropped."""
         self._is_aborted = True
         self.is_reusable = False
+        self._hold(0)
         if self._transport is not None:
             self._transport.abort()
 
-    async def _async_wait_for_body(
-        self, buffer_bytes_max: int, timeout_s: float | None
-    ) -> bool:
+    async def _async_wait_for_body(self, timeout_s: float | None) -> bool:
         """Wait for a whole or a long body and return whether it came in time."""
         self._is_expired = self.is_receive_cancelled
         timer = None
@@ -330,7 +360,7 @@
             timer = get_running_loop().call_later(timeout_s, self._expire)
         try:
             while not self._collector.has_ended:
-                if self._has_long_body(buffer_bytes_max):
+                if self._is_paused or self._has_long_body():
                     return True
                 if self._is_expired:
                     return False
@@ -360,9 +390,25 @@
         if self._fault is not None:
             raise BrokenAnswerError(self._fault, False)
 
-    def _has_long_body(self, bytes_max: int) -> bool:
-        """Return whether more than so many bytes of the answer have arrived."""
-        return self._collector.has_head and self._buffered_bytes > bytes_max
+    def _has_long_body(self) -> bool:
+        """Return whether the answer has to be passed on before it is whole.
+
+        It is longer than what is kept, or than what there is room for.
+        """
+        if not self._collector.has_head:
+            return False
+        if self._buffered_bytes > self._buffer_bytes_max:
+            return True
+        if self.memory is None or self._buffered_bytes <= SMALL_BYTES:
+            return False
+        return not self.memory.budget.may_buffer
+
+    def _hold(self, size: int) -> None:
+        """Count what is held of the answer."""
+        if self.memory is not None and size != self._held_bytes:
+            grown_bytes = size - self._held_bytes
+            self._held_bytes = size
+            self.memory.change(grown_bytes)
 
     def _wake(self) -> None:
         """Wake the task that waits."""
@@ -372,7 +418,9 @@
     def _resume(self) -> None:
         """Read on when there is room for more."""
         is_over = self._buffered_bytes > self._buffer_bytes_max
-        if self._is_paused and not is_over and self._transport:
+        if not self._is_paused or is_over or not self._transport:
+            return
+        if self.memory is None or self.memory.budget.has_room:
             self._is_paused = False
             self._transport.resume_reading()
 
@@ -381,6 +429,7 @@
         chunks = self._collector.chunks
         self._collector.chunks = []
         self._buffered_bytes = 0
+        self._hold(0)
         self._resume()
         return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
@@ -449,6 +498,8 @@
     transport, connection = await loop.create_connection(
         lambda: ServerConnection(now_s), address, port
     )
+    connected = transport.get_extra_info("socket")
+    bound_socket_buffers(connected)
     if uses_tcp_keepalive:
-        enable_tcp_keepalive(transport.get_extra_info("socket"))
+        enable_tcp_keepalive(connected)
     return connection
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
@@ -6,8 +6,13 @@
 
 from __future__ import annotations
 
-from asyncio import BaseTransport, Future, Transport, get_running_loop
-from asyncio import Protocol as LoopProtocol
+from asyncio import (
+    BaseTransport,
+    BufferedProtocol,
+    Future,
+    Transport,
+    get_running_loop,
+)
 from collections import deque
 from typing import Protocol, cast
 
@@ -15,6 +20,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from cardamomtack.helpers.clock import Clock
+from cardamomtack.memory.budget import MemoryBudget
 from cardamomtack_daemon.http1.body import (
     BODY_WINDOW_BYTES,
     READ_BYTES_MAX,
@@ -35,19 +41,33 @@
     OUTCOME_UNKNOWN,
     build_problem,
 )
+from cardamomtack_daemon.http1.receiving import RECEIVE_BUFFER
+from cardamomtack_daemon.http1.responses import ResponseMemory
 
 BODY_HELD_BYTES_MAX = BODY_WINDOW_BYTES + READ_BYTES_MAX
 """What one request may hold of its body."""
 
 BODY_TIMEOUT_S = 30.0
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+FIELD_OVERHEAD_BYTES = 160
+"""What a header field takes in memory beside its bytes."""
+
 HEAD_BYTES_MAX = 65536
+HEAD_FREE_BYTES = 8192
+"""What a head may take that is not counted, if no request is before it."""
+
+HEAD_STEP_BYTES = 1024
 HEAD_TIMEOUT_S = 30.0
 LINGER_S = 2.0
 """For how long the rest of a body is read after its request has been answered."""
 
 PIPELINED_MAX = 16
+REQUEST_OVERHEAD_BYTES = 800
+"""What a request takes in memory beside its fields and its body."""
+
 RETRY_AFTER_MEMORY_S = 0.3
+UNSENT_BYTES_MAX = 32_768
+"""What a caller may leave unsent before it counts as a reader that is waited for."""
 
 
 class ConnectionOwner(Protocol):
@@ -82,6 +102,10 @@
     memory : BodyMemory or None
         Bounds what is held of the bodies of all requests, which are then handed on as
         they arrive; None hands them on whole.
+    heads : MemoryBudget or None
+        Bounds what is held of large heads and of requests that wait behind another.
+    responses : ResponseMemory or None
+        Counts what is held of responses that are not taken.
     """
 
     __slots__ = (
@@ -90,8 +114,10 @@
         "connections_max",
         "head_bytes_max",
         "head_s",
+        "heads",
         "idle_s",
         "memory",
+        "responses",
     )
 
     def __init__(
@@ -101,21 +127,25 @@
         idle_s: float,
         cancels_abandoned: bool = False,
         memory: BodyMemory | None = None,
+        heads: MemoryBudget | None = None,
+        responses: ResponseMemory | None = None,
     ) -> None:
         self.body_bytes_max = body_bytes_max
         self.cancels_abandoned = cancels_abandoned
         self.connections_max = connections_max
         self.head_bytes_max = HEAD_BYTES_MAX
         self.head_s = HEAD_TIMEOUT_S
+        self.heads = heads
         self.idle_s = idle_s
         self.memory = memory
+        self.responses = responses
 
 
 class CallerGoneError(Exception):
     """The caller closed its connection."""
 
 
-class CallerConnection(LoopProtocol):
+class CallerConnection(BufferedProtocol):
     """One connection of a caller.
 
     Parameters
@@ -149,20 +179,27 @@
         "_fields",
         "_has_head",
         "_has_request",
+        "_head_cost",
+        "_head_held_bytes",
         "_head_size",
         "_headers",
+        "_heads_held_bytes",
         "_is_lost",
         "_is_unread",
         "_limits",
         "_owner",
         "_parser",
+        "_progress_at_s",
+        "_progress_bytes",
         "_ready",
         "_reserved_bytes",
+        "_sent_bytes",
         "_size",
         "_stream",
         "_taken",
         "_target",
         "_transport",
+        "_unsent_bytes",
         "_waiter",
         "has_answered",
         "refusal",
@@ -180,22 +217,29 @@
         self._fields = 0
         self._has_head = False
         self._has_request = False
+        self._head_cost = 0
+        self._head_held_bytes = 0
         self._head_size = 0
+        self._heads_held_bytes: deque[int] = deque()
         self._limits = limits
         self._owner = owner
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._can_write: Future[None] | None = None
         self._headers: HeaderList = []
         self._is_lost = False
         self._is_unread = False
         self._parser = HttpRequestParser(self)
+        self._progress_at_s: float | None = None
+        self._progress_bytes = 0
         self._ready: deque[HttpRequest] = deque()
         self._reserved_bytes: deque[int] = deque()
+        self._sent_bytes = 0
         self._size = 0
         self._stream: BodyStream | None = None
         self._taken: BodyStream | None = None
         self._target = b""
         self._transport: Transport | None = None
+        self._unsent_bytes = 0
         self._waiter: Future[None] | None = None
         self.has_answered = False
         self.refusal: HttpAnswer | None = None
@@ -207,6 +251,11 @@
         """Return whether no request has begun to arrive."""
         return self._size == 0
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is arriving or under way."""
+        return self.waits_since_s is not None and self.is_between_requests
+
     @property
     def has_unsent(self) -> bool:
         """Return whether bytes of an answer have not left yet."""
@@ -225,9 +274,18 @@
     def connection_made(self, transport: BaseTransport) -> None:
         """Keep the transport and have the requests answered."""
         self._transport = cast("Transport", transport)
+        self._transport.set_write_buffer_limits(high=UNSENT_BYTES_MAX)
         self._descriptor = transport.get_extra_info("socket").fileno()
         self._owner.add_connection(self)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the event loop puts what it reads, which bounds each read."""
+        return RECEIVE_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take what the event loop has read."""
+        self.data_received(bytes(RECEIVE_BUFFER[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse what arrives; nothing counts after what was refused."""
         if self.refusal is not None:
@@ -278,23 +336,28 @@
             self.scope.cancel()
 
     def pause_writing(self) -> None:
-        """Make a long answer wait until the caller takes more."""
+        """Make an answer wait until the caller takes more."""
         self._can_write = get_running_loop().create_future()
+        if self._limits.responses is not None:
+            self._limits.responses.budget.add_reader(self)
+            self._count_unsent()
 
     def resume_writing(self) -> None:
-        """Let a long answer go on."""
+        """Let an answer go on."""
         if self._can_write is not None and not self._can_write.done():
             self._can_write.set_result(None)
         self._can_write = None
+        self._count_unsent()
 
     def on_message_begin(self) -> None:
         """Start a request."""
         self._target = b""
         self._headers = []
-        self._body = []
+        self._body.clear()
         self._body_size = 0
         self._fields = 0
         self._has_head = False
+        self._head_cost = REQUEST_OVERHEAD_BYTES
         self._head_size = 0
 
     def on_url(self, target: bytes) -> None:
@@ -309,10 +372,11 @@
         self._fields += 1
         self._head_size += len(name) + len(value)
         if self._fields > FIELDS_MAX or self._head_size > self._limits.head_bytes_max:
-            self._headers = []
             self._refuse(431, "head of the request is too large")
         elif not self._has_head:
+            self._head_cost += len(name) + len(value) + FIELD_OVERHEAD_BYTES
             self._headers.append((name.lower(), value))
+            self._hold_head()
 
     def on_headers_complete(self) -> None:
         """Note that the head is complete, and check what it announces."""
@@ -322,6 +386,9 @@
         if self._head_size > self._limits.head_bytes_max:
             self._refuse(431, "head of the request is too large")
             return
+        self._hold_head()
+        if self.refusal is not None:
+            return
         length = self._read_length()
         if length != 0 and self._parser.should_upgrade():
             self._refuse(400, "upgrades with a body are not supported")
@@ -344,7 +411,7 @@
         if self._stream is not None:
             self._stream.feed(chunk)
             return
-        self._body.append(chunk)
+        self._body += chunk
         memory = self._limits.memory
         if self._body_size > BODY_WINDOW_BYTES and memory is not None:
             self._stream = BodyStream(
@@ -370,8 +437,10 @@
         """Hand a request on, with the source of the rest of its body."""
         parser = self._parser
         is_current = parser.get_http_version() == "1.1"
-        body = b"".join(self._body)
-        self._body = []
+        body = bytes(self._body)
+        self._body.clear()
+        self._heads_held_bytes.append(self._head_held_bytes)
+        self._head_held_bytes = 0
         self._ready.append(
             HttpRequest(
                 parser.get_method(),
@@ -407,6 +476,33 @@
         detail = "this VM holds too many request bodies"
         self._refuse(503, detail, RETRY_AFTER_MEMORY_S)
 
+    def _hold_head(self) -> None:
+        """Reserve what the head takes, or refuse its request.
+
+        A head that no request is before may take a little that is not counted.
+        """
+        heads = self._limits.heads
+        if heads is None:
+            return
+        is_alone = self.waits_since_s is not None and not self._ready
+        free_bytes = HEAD_FREE_BYTES if is_alone else 0
+        missing = self._head_cost - free_bytes - self._head_held_bytes
+        if missing <= 0:
+            return
+        size = max(missing, HEAD_STEP_BYTES)
+        if heads.reserve(size):
+            self._head_held_bytes += size
+            return
+        detail = "this VM holds too many heads of requests"
+        self._refuse(503, detail, RETRY_AFTER_MEMORY_S)
+
+    def _release_head(self) -> None:
+        """Drop the head that is not handed on, and give back what it held."""
+        self._headers = []
+        if self._limits.heads is not None:
+            self._limits.heads.release(self._head_held_bytes)
+        self._head_held_bytes = 0
+
     def _is_asked_to_continue(self) -> bool:
         """Return whether the caller waits for leave to send the body."""
         if find_field(self._headers, b"expect") is None or self.refusal is not None:
@@ -484,14 +580,21 @@
             self._taken = None
         if self._reserved_bytes and self._limits.memory is not None:
             self._limits.memory.release(self._reserved_bytes.popleft())
+        if self._heads_held_bytes:
+            held_bytes = self._heads_held_bytes.popleft()
+            if self._limits.heads is not None:
+                self._limits.heads.release(held_bytes)
 
     def end_all(self) -> None:
         """Give back what all requests of the connection held."""
         for request in self._ready:
             if isinstance(request.rest, BodyStream):
                 request.rest.discard()
-        while self._reserved_bytes:
+        while self._reserved_bytes or self._heads_held_bytes:
             self.end_request()
+        self._release_head()
+        if self._is_lost:
+            self._count_unsent()
 
     def is_overdue(self, now_s: float) -> bool:
         """Return whether the caller has taken too long to send a request."""
@@ -514,18 +617,70 @@
         if self._is_lost or self._transport is None:
             raise CallerGoneError
         self.has_answered = True
+        self._sent_bytes += len(data)
         self._transport.write(data)
+        if self._can_write is not None:
+            self._count_unsent()
 
     async def async_drain(self) -> None:
         """Wait until the caller has taken most of what was sent."""
         if self._can_write is not None:
             await self._can_write
 
+    @property
+    def taken_bytes(self) -> int:
+        """Return what the caller, or the kernel for it, has taken of all answers."""
+        if self._transport is None:
+            return 0
+        return self._sent_bytes - self._transport.get_write_buffer_size()
+
+    def is_stalled(self, now_s: float) -> bool:
+        """Return whether the caller has taken nothing of an answer for too long.
+
+        It is asked at intervals.
+        """
+        if not self.has_unsent:
+            self._progress_at_s = None
+            return False
+        taken_bytes = self.taken_bytes
+        if self._progress_at_s is None or taken_bytes != self._progress_bytes:
+            self._progress_at_s = now_s
+            self._progress_bytes = taken_bytes
+        return now_s - self._progress_at_s > self._limits.idle_s
+
+    def close_slow(self) -> None:
+        """Close the connection of a reader at once, in the middle of an answer."""
+        if self._limits.responses is not None:
+            self._limits.responses.budget.remove_reader(self)
+        if self._transport is not None:
+            self._transport.abort()
+        self._count_unsent(is_dropped=True)
+
+    def _count_unsent(self, is_dropped: bool = False) -> None:
+        """Count what is unsent while the caller is waited for."""
+        responses = self._limits.responses
+        if responses is None:
+            return
+        unsent_bytes = 0
+        is_waited_for = self._can_write is not None and not self._is_lost
+        if is_waited_for and not is_dropped and self._transport is not None:
+            unsent_bytes = self._transport.get_write_buffer_size()
+        else:
+            responses.budget.remove_reader(self)
+        grown_bytes = unsent_bytes - self._unsent_bytes
+        self._unsent_bytes = unsent_bytes
+        responses.change(grown_bytes)
+
     def close(self) -> None:
         """Close the connection after what was sent."""
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Close the connection at once; what is unsent is dropped."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def _refuse(
         self, status: int, detail: str, retry_after_s: float | None = None
     ) -> None:
@@ -536,6 +691,8 @@
         if self.refusal is not None:
             return
         outcome = OUTCOME_NOT_RUN
+        self._release_head()
+        self._body.clear()
         if self._stream is not None:
             self._stream.abort()
             if self._taken is self._stream:
--- /dev/null
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/receiving.py
@@ -0,0 +1,19 @@
+"""Bounds what one connection takes in memory at the kernel, and at one read."""
+
+from __future__ import annotations
+
+from socket import SO_RCVBUF, SO_SNDBUF, SOL_SOCKET, socket
+
+from cardamomtack_daemon.http1.body import READ_BYTES_MAX
+
+RECEIVE_BUFFER = memoryview(bytearray(READ_BYTES_MAX))
+"""Where the event loop puts what it reads, of one connection at a time."""
+
+SOCKET_BUFFER_BYTES = 131_072
+"""100 Mbit/s with 8 ms of delay have 100 kB under way; the kernel doubles it."""
+
+
+def bound_socket_buffers(one: socket) -> None:
+    """Bound what the kernel holds of a connection; it grows to several MB otherwise."""
+    one.setsockopt(SOL_SOCKET, SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    one.setsockopt(SOL_SOCKET, SO_SNDBUF, SOCKET_BUFFER_BYTES)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
@@ -17,6 +17,7 @@
     ConnectionLimits,
 )
 from cardamomtack_daemon.http1.hangups import HangupWatcher
+from cardamomtack_daemon.http1.listening import ConnectionAcceptor
 from cardamomtack_daemon.http1.messages import (
     HttpAnswer,
     HttpRequest,
@@ -24,8 +25,9 @@
     encode_chunk,
 )
 
-BACKLOG = 1024
 IDLE_CHECK_S = 1.0
+JOINED_BYTES_MAX = 32_768
+"""Longest body that is copied behind its head, to be sent in one piece."""
 
 
 class AnswerSource(Protocol):
@@ -65,6 +67,10 @@
         Watches the connections that are not read at the moment.
     is_closing : bool
         Whether connections are closed after their current request.
+    closed_idle : int
+        Idle connections that were closed for new ones.
+    closed_stalled : int
+        Connections whose callers took nothing of an answer for too long.
     refused : int
         Connections that were over the bound.
     """
@@ -76,6 +82,8 @@
         "_handler",
         "_limits",
         "_tasks",
+        "closed_idle",
+        "closed_stalled",
         "hangups",
         "is_closing",
         "refused",
@@ -90,6 +98,8 @@
         self._handler = handler
         self._limits = limits
         self._tasks: TaskGroup | None = None
+        self.closed_idle = 0
+        self.closed_stalled = 0
         self.hangups = HangupWatcher()
         self.is_closing = False
         self.refused = 0
@@ -118,8 +128,8 @@
         """Serve callers until cancelled; started once it listens."""
         async with create_task_group() as tasks:
             self._tasks = tasks
-            server = await get_running_loop().create_server(
-                self._make_connection, address, port, backlog=BACKLOG
+            acceptor = ConnectionAcceptor(
+                self._make_connection, address, port, get_running_loop()
             )
             task_status.started()
             if self._limits.cancels_abandoned:
@@ -127,17 +137,38 @@
             try:
                 await self._async_close_idle()
             finally:
-                server.close()
+                acceptor.close()
 
     def add_connection(self, connection: CallerConnection) -> None:
         """Have the requests of a new connection answered."""
-        if len(self._connections) >= self._limits.connections_max or not self._tasks:
+        if not self._tasks or not self._make_room():
             self.refused += 1
             connection.close()
             return
         self._connections.add(connection)
         self._tasks.start_soon(self._async_serve_connection, connection)
 
+    def _make_room(self) -> bool:
+        """Return whether one more connection may be open, for which one may close.
+
+        One that has been closed and still sends goes first, then the one that has been
+        idle for longest.
+        """
+        connections = len(self._connections) + len(self._closing)
+        if connections < self._limits.connections_max:
+            return True
+        if self._closing:
+            self._closing.pop().abort()
+            return True
+        idle = [one for one in self._connections if one.is_idle]
+        longest = min(idle, key=lambda one: one.waits_since_s or 0.0, default=None)
+        if longest is None:
+            return False
+        self.closed_idle += 1
+        self._connections.discard(longest)
+        longest.close()
+        return True
+
     def _make_connection(self) -> CallerConnection:
         """Return the protocol of a new connection."""
         return CallerConnection(self, self._limits, self._clock)
@@ -155,11 +186,15 @@
             for connection in list(self._connections):
                 if connection.is_overdue(now_s):
                     connection.close()
+            for connection in [*self._connections, *self._closing]:
+                if connection.is_stalled(now_s):
+                    self.closed_stalled += 1
+                    connection.abort()
 
     def close_idle(self) -> None:
         """Close the connections on which no request has begun to arrive."""
         for connection in list(self._connections):
-            if connection.waits_since_s is not None and connection.is_between_requests:
+            if connection.is_idle:
                 connection.close()
 
     async def _async_serve_connection(self, connection: CallerConnection) -> None:
@@ -203,6 +238,8 @@
             keep_alive = await _async_stream(connection, answer, source, keep_alive)
         else:
             _send_whole(connection, answer, keep_alive)
+            # What follows on the connection waits until the answer is taken.
+            await connection.async_drain()
         if is_early:
             await connection.async_discard_body()
         return keep_alive
@@ -213,7 +250,12 @@
 ) -> None:
     """Send an answer that is whole."""
     framing = b"content-length: %d\r\n" % _count_length(answer)
-    connection.send(encode_answer_head(answer, keep_alive, framing) + answer.body)
+    head = encode_answer_head(answer, keep_alive, framing)
+    if len(answer.body) <= JOINED_BYTES_MAX:
+        connection.send(head + answer.body)
+    else:
+        connection.send(head)
+        connection.send(answer.body)
 
 
 async def _async_stream(
@@ -232,11 +274,13 @@
     if answer.length is not None:
         framing = b"content-length: %d\r\n" % answer.length
     part: bytes | None = answer.body
+    answer.body = b""
     try:
         connection.send(encode_answer_head(answer, keep_alive, framing))
         while part is not None:
             if part:
                 connection.send(encode_chunk(part) if chunked else part)
+                part = b""
                 await connection.async_drain()
             part = await source.async_receive_more()
         if chunked:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/pool.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/pool.py
@@ -16,6 +16,7 @@
 HELPED_IDLE_S_MAX = 5.0
 """Longest time for which a connection through another VM is kept unused."""
 
+IDLE_MAX = 2000
 IDLE_PER_SERVER_MAX = 8
 RECENT_USE_S = 1.0
 
@@ -89,14 +90,17 @@
     ----------
     dialer : Dialer or None
         Opens connections; None to open them directly.
+    idle_max : int
+        Most connections that are kept unused, to all servers together.
     """
 
-    __slots__ = ("_clock", "_idle", "dialer", "discarded", "opened")
+    __slots__ = ("_clock", "_idle", "dialer", "discarded", "idle_max", "opened")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._idle: dict[str, deque[ServerConnection]] = {}
         self.dialer: Dialer | None = None
+        self.idle_max = IDLE_MAX
         self.opened = 0
         self.discarded = 0
 
@@ -162,6 +166,8 @@
             return
         connection.used_at_s = self._clock.read_monotonic_s()
         idle.append(connection)
+        if sum(len(one) for one in self._idle.values()) > self.idle_max:
+            self._discard_oldest()
 
     def discard(self, connection: ServerConnection) -> None:
         """Close a connection that must not be used again."""
@@ -187,6 +193,14 @@
                     self.discard(connection)
             self._idle[vm_id] = kept
 
+    def _discard_oldest(self) -> None:
+        """Close the connection that has been unused for longest."""
+        oldest = min(
+            (idle for idle in self._idle.values() if idle),
+            key=lambda idle: idle[0].used_at_s,
+        )
+        self.discard(oldest.popleft())
+
     def _is_young(self, connection: ServerConnection) -> bool:
         """Return whether a connection is within the bounds of its age."""
         now_s = self._clock.read_monotonic_s()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/const.py
@@ -30,4 +30,3 @@
 
 TEST_VALID_S: Final = 0.25
 TRIAL_CHECK_S: Final = 0.1
-TUNNELS_MAX: Final = 600
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
@@ -37,7 +37,6 @@
     LENGTH_END,
     LENGTH_LEAVING,
     REQUEST_TIMEOUT_S,
-    TUNNELS_MAX,
 )
 from cardamomtack_daemon.tunnels.stream import BoundedStream, async_connect_stream
 from cardamomtack_daemon.tunnels.tester import WayTester
@@ -116,6 +115,8 @@
         The own ways to them.
     tester : WayTester
         Tells a server that is down from a way that is cut.
+    tunnels_max : int
+        Connections to servers for other VMs.
 
     Attributes
     ----------
@@ -128,17 +129,23 @@
         "_registry",
         "_tester",
         "_tunnels",
+        "_tunnels_max",
         "_ways",
         "is_leaving",
     )
 
     def __init__(
-        self, registry: ServerRegistry, ways: DirectWays, tester: WayTester
+        self,
+        registry: ServerRegistry,
+        ways: DirectWays,
+        tester: WayTester,
+        tunnels_max: int,
     ) -> None:
         self._hangups = HangupWatcher()
         self._registry = registry
         self._tester = tester
         self._tunnels: set[_Tunnel] = set()
+        self._tunnels_max = tunnels_max
         self._ways = ways
         self.is_leaving = False
 
@@ -205,7 +212,7 @@
         self, wanted: TunnelOpen
     ) -> tuple[TunnelAnswer, BoundedStream | None]:
         """Return whether a server was reached, and the connection to it."""
-        if self.is_leaving or len(self._tunnels) >= TUNNELS_MAX:
+        if self.is_leaving or len(self._tunnels) >= self._tunnels_max:
             return TunnelAnswer("busy"), None
         server = self._registry.servers.get(wanted.server_id)
         if server is None or not server.may_stay:
--- /dev/null
+++ b/tests/cardamomtack/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what a VM may hold."""
