--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -420,6 +420,8 @@
         is_over = self._buffered_bytes > self._buffer_bytes_max
         if not self._is_paused or is_over or not self._transport:
             return
+        if self._transport.is_closing():
+            return
         if self.memory is None or self.memory.budget.has_room:
             self._is_paused = False
             self._transport.resume_reading()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
@@ -563,7 +563,7 @@
 
         Closing at once would reset the connection and could destroy the answer.
         """
-        if self._is_lost or self._transport is None:
+        if self._is_lost or self._transport is None or self._transport.is_closing():
             return
         self._transport.write_eof()
         self._waiter = get_running_loop().create_future()
@@ -614,7 +614,7 @@
         CallerGoneError
             When the caller closed the connection.
         """
-        if self._is_lost or self._transport is None:
+        if self._is_lost or self._transport is None or self._transport.is_closing():
             raise CallerGoneError
         self.has_answered = True
         self._sent_bytes += len(data)
@@ -711,6 +711,8 @@
         )
         if is_full == self._is_unread or self._transport is None or self._is_lost:
             return
+        if self._transport.is_closing():
+            return
         self._is_unread = is_full
         if is_full:
             self._transport.pause_reading()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
@@ -7,6 +7,7 @@
 
 from anyio import TASK_STATUS_IGNORED, CancelScope, create_task_group, sleep
 from anyio.abc import TaskGroup, TaskStatus
+from loguru import logger
 
 from cardamomtack.helpers.clock import Clock
 from cardamomtack_daemon.http1.body import BodyAbortedError
@@ -81,6 +82,7 @@
         "_connections",
         "_handler",
         "_limits",
+        "_logged",
         "_tasks",
         "closed_idle",
         "closed_stalled",
@@ -97,6 +99,7 @@
         self._connections: set[CallerConnection] = set()
         self._handler = handler
         self._limits = limits
+        self._logged = (0, 0, 0)
         self._tasks: TaskGroup | None = None
         self.closed_idle = 0
         self.closed_stalled = 0
@@ -190,6 +193,20 @@
                 if connection.is_stalled(now_s):
                     self.closed_stalled += 1
                     connection.abort()
+            self._log_closed()
+
+    def _log_closed(self) -> None:
+        """Log how many connections were closed or refused since the last look."""
+        counts = (self.closed_idle, self.closed_stalled, self.refused)
+        if counts == self._logged:
+            return
+        idle, stalled, refused = (
+            now - before for now, before in zip(counts, self._logged, strict=True)
+        )
+        self._logged = counts
+        logger.bind(idle=idle, stalled=stalled, refused=refused).warning(
+            "connections of callers closed"
+        )
 
     def close_idle(self) -> None:
         """Close the connections on which no request has begun to arrive."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/stream.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/stream.py
@@ -58,6 +58,9 @@
         OSError
             When the connection is lost.
         """
+        # The event loop raises no OSError where the connection is closed already.
+        if self._writer.transport.is_closing():
+            raise ConnectionResetError
         self._writer.write(data)
         await self._writer.drain()
 
