Leave accepting of connections to the event loop

Cause: accepting in the process cost 80 to 100 us more for each new connection (278 to 288 us before, 360 to 390 us, loopback, this machine under load).

Change: the event loop's own server on a listener with bounded socket buffers; heads are charged less often.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
@@ -376,7 +376,8 @@
         elif not self._has_head:
             self._head_cost += len(name) + len(value) + FIELD_OVERHEAD_BYTES
             self._headers.append((name.lower(), value))
-            self._hold_head()
+            if self._head_cost - self._head_held_bytes > HEAD_FREE_BYTES:
+                self._hold_head()
 
     def on_headers_complete(self) -> None:
         """Note that the head is complete, and check what it announces."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/receiving.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/receiving.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from socket import SO_RCVBUF, SO_SNDBUF, SOL_SOCKET, socket
+from socket import (
+    AF_INET,
+    AF_INET6,
+    SO_RCVBUF,
+    SO_SNDBUF,
+    SOL_SOCKET,
+    create_server,
+    socket,
+)
 
 from cardamomtack_daemon.http1.body import READ_BYTES_MAX
 
@@ -17,3 +25,12 @@
     """Bound what the kernel holds of a connection; it grows to several MB otherwise."""
     one.setsockopt(SOL_SOCKET, SO_RCVBUF, SOCKET_BUFFER_BYTES)
     one.setsockopt(SOL_SOCKET, SO_SNDBUF, SOCKET_BUFFER_BYTES)
+
+
+def open_listener(address: str, port: int) -> socket:
+    """Return a socket that is bound; what is accepted on it has its buffers."""
+    family = AF_INET6 if ":" in address else AF_INET
+    listener = create_server((address, port), family=family)
+    bound_socket_buffers(listener)
+    listener.setblocking(False)
+    return listener
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
@@ -18,14 +18,15 @@
     ConnectionLimits,
 )
 from cardamomtack_daemon.http1.hangups import HangupWatcher
-from cardamomtack_daemon.http1.listening import ConnectionAcceptor
 from cardamomtack_daemon.http1.messages import (
     HttpAnswer,
     HttpRequest,
     encode_answer_head,
     encode_chunk,
 )
+from cardamomtack_daemon.http1.receiving import open_listener
 
+BACKLOG = 1024
 IDLE_CHECK_S = 1.0
 JOINED_BYTES_MAX = 32_768
 """Longest body that is copied behind its head, to be sent in one piece."""
@@ -131,8 +132,9 @@
         """Serve callers until cancelled; started once it listens."""
         async with create_task_group() as tasks:
             self._tasks = tasks
-            acceptor = ConnectionAcceptor(
-                self._make_connection, address, port, get_running_loop()
+            listener = open_listener(address, port)
+            server = await get_running_loop().create_server(
+                self._make_connection, sock=listener, backlog=BACKLOG
             )
             task_status.started()
             if self._limits.cancels_abandoned:
@@ -140,7 +142,7 @@
             try:
                 await self._async_close_idle()
             finally:
-                acceptor.close()
+                server.close()
 
     def add_connection(self, connection: CallerConnection) -> None:
         """Have the requests of a new connection answered."""
