Bound the sockets of tunnels, and test small pipelined requests

Cause: the sockets of tunnels kept the kernel's buffers of several MB. No test had many small requests behind one that waits, which took 1.2 MB a caller.

Change: the bounds of other sockets apply to those of tunnels, and one more crowd: 60 callers with 3,300 requests each. This crowd was written after the bounds.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/connection.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/connection.py
@@ -13,6 +13,7 @@
 from cardamomtack.helpers.decoding import DECODE_ERRORS
 from cardamomtack.reach.helpers import HelperTable
 from cardamomtack_daemon.http1.client import ServerConnection, enable_tcp_keepalive
+from cardamomtack_daemon.http1.receiving import bound_socket_buffers
 from cardamomtack_daemon.peers.const import FRAME_LENGTH_BYTES
 from cardamomtack_daemon.peers.stream import encode_frame
 from cardamomtack_daemon.tunnels.const import (
@@ -185,7 +186,9 @@
                 helper.address,
                 helper.tunnel_port,
             )
-            enable_tcp_keepalive(transport.get_extra_info("socket"))
+            connected = transport.get_extra_info("socket")
+            bound_socket_buffers(connected)
+            enable_tcp_keepalive(connected)
             transport.write(encode_frame(TunnelMessage(open=wanted)))
             outcome = await protocol.answered
     except OSError as error:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/stream.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/stream.py
@@ -6,6 +6,8 @@
 
 from anyio import EndOfStream
 
+from cardamomtack_daemon.http1.receiving import bound_socket_buffers
+
 WINDOW_BYTES = 65_536
 """What is read ahead; the connection waits at twice as much."""
 
@@ -73,4 +75,6 @@
     OSError
         When the other end refuses or can't be reached.
     """
-    return BoundedStream(*await open_connection(address, port, limit=WINDOW_BYTES))
+    reader, writer = await open_connection(address, port, limit=WINDOW_BYTES)
+    bound_socket_buffers(writer.get_extra_info("socket"))
+    return BoundedStream(reader, writer)
--- a/tests/cardamomtack_platform/test_uncontrolled_clients.py
+++ b/tests/cardamomtack_platform/test_uncontrolled_clients.py
@@ -55,6 +55,9 @@
 # Each sends 16 heads of about 150 kB in memory behind a request that waits: 240 MB.
 HEAD_PIPELINING_CALLERS = 100
 PIPELINED_HEADS = 16
+# Each sends 230 kB of requests behind one that waits; they held 1.2 MB: 71 MB.
+REQUEST_PIPELINING_CALLERS = 60
+PIPELINED_REQUESTS = 3300
 SLOW_READ_BYTES = 2000
 SLOW_READ_S = 0.1
 SLOW_READS = 50
@@ -224,6 +227,13 @@
 
         self.play(HEAD_PIPELINING_CALLERS, act)
 
+    def test_small_pipelined_requests_behind_a_request_that_waits(self):
+        async def act(crowd):
+            requests = make_head("x") * PIPELINED_REQUESTS
+            await crowd.async_send(make_head("wait") + requests)
+
+        self.play(REQUEST_PIPELINING_CALLERS, act)
+
 
 class CalmTest(unittest.TestCase):
     """A single request within the limits is served by the smallest VM."""
