Merge the bounds on what clients make a VM hold

Cause: a VM held up to 2.1 MB for each slow reader, heads and pipelined requests without a bound, and as many connections as came. Each now has a share of the VM's memory and descriptors.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/settings.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/settings.py
@@ -36,6 +36,10 @@
         In no window of so many seconds do all VMs together send more requests of a
         workspace than its quota, that share of it and the slack; all 0 when nothing
         may exceed a quota.
+    memory_bytes : int
+        Memory of the VM, of which shares bound what is held of heads and responses.
+    descriptors : int
+        Descriptors of the process, of which shares bound its connections.
     grace_s : float
         Time between SIGTERM and SIGKILL, in seconds.
     link_mbps : float
@@ -61,3 +65,5 @@
     quota_window_s: float = 0.0
     quota_over_share: float = 0.0
     quota_slack: float = 0.0
+    memory_bytes: int = 200_000_000
+    descriptors: int = 8192
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/stream.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/stream.py
@@ -6,6 +6,8 @@
 
 from anyio import EndOfStream
 
+from cardamomtack_daemon.http1.receiving import bound_socket_buffers
+
 WINDOW_BYTES = 65_536
 """What is read ahead; the connection waits at twice as much."""
 
@@ -58,6 +60,9 @@
         OSError
             When the connection is lost.
         """
+        # The event loop raises no OSError where the connection is closed already.
+        if self._writer.transport.is_closing():
+            raise ConnectionResetError
         self._writer.write(data)
         await self._writer.drain()
 
@@ -70,4 +75,6 @@
     OSError
         When the other end refuses or can't be reached.
     """
-    return BoundedStream(*await open_connection(address, port, limit=WINDOW_BYTES))
+    reader, writer = await open_connection(address, port, limit=WINDOW_BYTES)
+    bound_socket_buffers(writer.get_extra_info("socket"))
+    return BoundedStream(reader, writer)
