Keep tokens only for callers that come back soon

Change: a token is kept only for a quarter of the time until the objective. A caller that can't come back by then is told a time after its objective, as when no server has capacity.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -11,7 +11,6 @@
 from cardamomtack.helpers.clock import Clock
 from cardamomtack.limits.returns import ReturnSchedule
 from cardamomtack.placing.admission import (
-    RETRY_AFTER_SHARE_MAX,
     CallerTimes,
     choose_prompt_retry_after_s,
     choose_retry_after_s,
@@ -28,6 +27,7 @@
 from cardamomtack_daemon.forwarding.call import ForwardedCall
 from cardamomtack_daemon.forwarding.const import (
     FINISH_FACTOR,
+    QUOTA_RETURN_OBJECTIVE_SHARE,
     STOOD_RETRY_AFTER_S,
     SUSPECT_RETRY_AFTER_S,
     UNCONFIGURED_RETRY_AFTER_S,
@@ -205,16 +205,18 @@
         workspace = call.workspace
         if workspace is None or not workspace.has_quota:
             return await self._async_forward(call)
-        left_s = max(0.0, call.leaves_at_s - self._clock.read_monotonic_s())
+        objective_left_s = call.objective_s - self._clock.read_monotonic_s()
+        soon_s = QUOTA_RETURN_OBJECTIVE_SHARE * max(0.0, objective_left_s)
         quota = await self._quotas.async_admit(
-            workspace,
-            int.from_bytes(call.digest[:QUOTA_KEY_BYTES]),
-            RETRY_AFTER_SHARE_MAX * left_s,
+            workspace, int.from_bytes(call.digest[:QUOTA_KEY_BYTES]), soon_s
         )
         call.quota = quota
         if not quota.is_admitted:
+            retry_after_s = quota.retry_after_s
+            if retry_after_s >= soon_s:
+                retry_after_s = self._choose_retry_after_s(call, False)
             self._opener.refused_at_s = self._clock.read_monotonic_s()
-            answer = build_quota_refusal(quota.reason, quota.retry_after_s)
+            answer = build_quota_refusal(quota.reason, retry_after_s)
             return (answer, None), quota.reason
         try:
             return await self._async_forward(call)
