Order waiting calls by the recent use of their workspaces

A workspace that sent many times its usual filled the queues of the VMs, and its calls got the slots that others within their share could have used. Calls without a workspace form one share, so their order is as before.

--- a/packages/cardamomtack/src/cardamomtack/placing/wait_queue.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/wait_queue.py
@@ -6,9 +6,11 @@
 be answered in time. Every slot that a request of this VM frees goes to one that waits,
 so each VM keeps as many slots as it uses, and no two VMs run for the same one.
 
-More urgent kinds go first, but one slot in a few goes to the call that has waited
-longest, so that no kind starves. A call that would have to wait for too long, by the
-rate at which slots come free, is refused at once.
+More urgent kinds go first, then workspaces that have used the least lately in
+proportion to their weight, then calls with less time. One slot in a few goes, whatever
+the priority, to the workspace with the least use and there to the call that has waited
+longest, so that no kind and no workspace starves. A call that would have to wait for
+too long, by the rate at which slots come free, is refused at once.
 """
 
 from __future__ import annotations
@@ -24,6 +26,13 @@
     OVERLOAD_WINDOW_S,
     WAIT_WORK_FACTOR,
 )
+from cardamomtack.placing.recent_use import (
+    RecentUse,
+    count_earlier_turns,
+    find_share,
+    find_weight,
+)
+from cardamomtack.workspaces.policy import Workspace
 
 RATE_WINDOW_S = 1.0
 
@@ -39,6 +48,8 @@
         Monotonic time by which it is to be answered, in seconds.
     work_s : float
         Its work on an idle server, in seconds.
+    workspace : Workspace or None
+        The workspace whose share it uses; None for the share of those without one.
 
     Attributes
     ----------
@@ -46,24 +57,39 @@
         Monotonic time until which it may still be answered in time, in seconds.
     """
 
-    __slots__ = ("latest_start_at_s", "objective_at_s", "priority")
-
-    def __init__(self, priority: int, objective_at_s: float, work_s: float) -> None:
+    __slots__ = (
+        "latest_start_at_s",
+        "objective_at_s",
+        "priority",
+        "work_s",
+        "workspace",
+    )
+
+    def __init__(
+        self,
+        priority: int,
+        objective_at_s: float,
+        work_s: float,
+        workspace: Workspace | None = None,
+    ) -> None:
         self.latest_start_at_s = objective_at_s - WAIT_WORK_FACTOR * work_s
         self.objective_at_s = objective_at_s
         self.priority = priority
+        self.work_s = work_s
+        self.workspace = workspace
 
 
 class WaitQueue:
     """The calls of one VM that wait for capacity at the servers of one service."""
 
-    __slots__ = ("_assigned", "_calls", "_ended_at_s", "_overloaded_at_s")
+    __slots__ = ("_assigned", "_calls", "_ended_at_s", "_overloaded_at_s", "_use")
 
     def __init__(self) -> None:
         self._calls: list[QueuedCall] = []
         self._ended_at_s: deque[float] = deque()
         self._assigned = 0
         self._overloaded_at_s = -inf
+        self._use = RecentUse()
 
     def __len__(self) -> int:
         """Return how many calls wait."""
@@ -87,8 +113,8 @@
         left_s = call.latest_start_at_s - now_s
         if left_s <= 0:
             return False
-        before = sum(one.priority <= call.priority for one in self._calls)
-        if before / self._estimate_slots_per_s(now_s) > left_s:
+        ahead = self.count_ahead(call, now_s)
+        if ahead / self._estimate_slots_per_s(now_s) > left_s:
             return False
         self._calls.append(call)
         return True
@@ -98,6 +124,42 @@
         if call in self._calls:
             self._calls.remove(call)
 
+    def count_ahead(self, call: QueuedCall, now_s: float) -> int:
+        """Return how many of the calls that wait would go before a new one.
+
+        Each slot that a workspace gets moves it back behind the others, so of its many
+        calls only a few go before the next one of another.
+        """
+        ahead = sum(one.priority < call.priority for one in self._calls)
+        counts: dict[str | None, int] = {}
+        workspaces: dict[str | None, Workspace | None] = {}
+        for one in self._calls:
+            if one.priority == call.priority:
+                share = find_share(one.workspace)
+                counts[share] = counts.get(share, 0) + 1
+                workspaces[share] = one.workspace
+        own_share = find_share(call.workspace)
+        own = counts.pop(own_share, 0)
+        level = self._use.read_use_s(own_share, now_s) + own * call.work_s
+        level /= find_weight(call.workspace)
+        for share, count in counts.items():
+            use_s = self._use.read_use_s(share, now_s)
+            weight = find_weight(workspaces[share])
+            ahead += count_earlier_turns(use_s, weight, call.work_s, level, count)
+        return ahead + own
+
+    def record_use(
+        self, workspace: Workspace | None, work_s: float, now_s: float
+    ) -> None:
+        """Count capacity that a call got without waiting.
+
+        Parameters
+        ----------
+        work_s : float
+            Its work on an idle server, in seconds.
+        """
+        self._use.record(workspace, work_s, now_s)
+
     def record_freed_slot(self, now_s: float) -> None:
         """Count a slot that a request of this VM has freed."""
         self._ended_at_s.append(now_s)
@@ -116,13 +178,33 @@
         calls = [one for one in self._calls if one.latest_start_at_s >= now_s]
         is_fair_turn = (self._assigned + 1) % LONGEST_WAITING_EVERY == 0
         while calls:
-            first = calls[0] if is_fair_turn else min(calls, key=_rank_call)
+            first = self._find_first(calls, is_fair_turn, now_s)
             if is_fit(first):
                 self._assigned += 1
+                self._use.record(first.workspace, first.work_s, now_s)
                 return first
             calls.remove(first)
         return None
 
+    def _find_first(
+        self, calls: list[QueuedCall], is_fair_turn: bool, now_s: float
+    ) -> QueuedCall:
+        """Return the call that goes first; calls are in the order of their arrival."""
+        levels = {
+            find_share(one.workspace): self._use.compute_level(one.workspace, now_s)
+            for one in calls
+        }
+        if is_fair_turn:
+            return min(calls, key=lambda one: levels[find_share(one.workspace)])
+        return min(
+            calls,
+            key=lambda one: (
+                one.priority,
+                levels[find_share(one.workspace)],
+                one.objective_at_s,
+            ),
+        )
+
     def _estimate_slots_per_s(self, now_s: float) -> float:
         """Return how many slots a second may come free for calls of this VM."""
         self._drop_old(now_s)
@@ -133,8 +215,3 @@
         """Forget the ends before the window."""
         while self._ended_at_s and self._ended_at_s[0] < now_s - RATE_WINDOW_S:
             self._ended_at_s.popleft()
-
-
-def _rank_call(call: QueuedCall) -> tuple[int, float]:
-    """Return what orders calls: the urgent ones first, then those with less time."""
-    return call.priority, call.objective_at_s
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -168,8 +168,12 @@
             placed = await self._async_place_probed(service, call, queue)
         if placed is None and may_wait:
             placed = await self._async_wait(service, call, queue)
+            if placed is not None:
+                return placed
         if placed is None and queue.is_empty:
             placed = await self._async_place_without_capacity(service, call)
+        if placed is not None:
+            queue.record_use(call.workspace, self.estimate_work_s(call))
         return placed
 
     def _reaches_none(self, service: ServiceView) -> bool:
@@ -301,7 +305,9 @@
 
         work_s = self.estimate_work_s(call)
         began_s = self._clock.read_monotonic_s()
-        queued = AsyncQueuedCall(call.priority, call.objective_s, work_s, is_fit)
+        queued = AsyncQueuedCall(
+            call.priority, call.objective_s, work_s, is_fit, call.workspace
+        )
         is_done = False
         try:
             placed = await queue.async_wait(queued, poll)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/wait_queue.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/wait_queue.py
@@ -9,6 +9,7 @@
 from cardamomtack.helpers.clock import Clock
 from cardamomtack.placing.const import QUEUE_POLL_INTERVAL_S
 from cardamomtack.placing.wait_queue import QueuedCall, WaitQueue
+from cardamomtack.workspaces.policy import Workspace
 from cardamomtack_daemon.forwarding.prober import ProbedServer
 
 
@@ -31,8 +32,9 @@
         objective_at_s: float,
         work_s: float,
         is_fit: Callable[[ProbedServer], bool],
+        workspace: Workspace | None = None,
     ) -> None:
-        super().__init__(priority, objective_at_s, work_s)
+        super().__init__(priority, objective_at_s, work_s, workspace)
         self._arrived = Event()
         self.assigned: ProbedServer | None = None
         self.is_fit = is_fit
@@ -77,6 +79,10 @@
         """Count a slot that a request of this VM has freed."""
         self._queue.record_freed_slot(self._clock.read_monotonic_s())
 
+    def record_use(self, workspace: Workspace | None, work_s: float) -> None:
+        """Count capacity that a call got without waiting."""
+        self._queue.record_use(workspace, work_s, self._clock.read_monotonic_s())
+
     def assign(self, probed: ProbedServer) -> bool:
         """Give a server to the call that goes first, and return whether one took it."""
 
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/load.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/load.py
@@ -7,6 +7,8 @@
 from math import exp
 from random import Random
 
+from cardamomtack.workspaces.policy import Workspace
+
 
 @dataclass(slots=True, frozen=True)
 class KindLoad:
@@ -26,6 +28,12 @@
         How often a caller sends a request that is refused.
     deadline_spread : float
         Share by which the deadlines of callers may be shorter.
+    route : str
+        Route whose work is learnt from it; empty for one of its own.
+    workspace : Workspace or None
+        Whose callers send it.
+    bursts : tuple of (float, float, float)
+        Bursts of this kind alone, in place of those of the plan.
     """
 
     name: str
@@ -39,6 +47,14 @@
     spread: float = 0.3
     sends_max: int = 2
     deadline_spread: float = 0.0
+    route: str = ""
+    workspace: Workspace | None = None
+    bursts: tuple[tuple[float, float, float], ...] = ()
+
+    @property
+    def route_name(self) -> str:
+        """Return the name of its route."""
+        return self.route or self.name
 
 
 @dataclass(slots=True, frozen=True)
@@ -89,13 +105,14 @@
     arrivals: list[Arrival] = []
     for kind in plan.kinds:
         now_s = 0.0
-        peak = max((factor for _, _, factor in plan.bursts), default=1.0)
+        bursts = kind.bursts or plan.bursts
+        peak = max((factor for _, _, factor in bursts), default=1.0)
         rate = kind.requests_per_s * max(1.0, peak)
         while True:
             now_s += random.expovariate(rate)
             if now_s >= plan.length_s:
                 break
-            factor = _find_factor(plan, now_s)
+            factor = _find_factor(bursts, now_s)
             if random.random() < factor / max(1.0, peak):
                 spread = exp(random.gauss(-(kind.spread**2) / 2, kind.spread))
                 deadline_s = kind.deadline_s
@@ -105,9 +122,9 @@
     return iter(sorted(arrivals, key=lambda one: one.at_s))
 
 
-def _find_factor(plan: LoadPlan, now_s: float) -> float:
+def _find_factor(bursts: tuple[tuple[float, float, float], ...], now_s: float) -> float:
     """Return how many times as many requests as usual arrive."""
-    for start_s, end_s, factor in plan.bursts:
+    for start_s, end_s, factor in bursts:
         if start_s <= now_s < end_s:
             return factor
     return 1.0
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
@@ -191,7 +191,8 @@
     __slots__ = ("call",)
 
     def __init__(self, call: ModelCall, work_s: float) -> None:
-        super().__init__(call.kind.priority, call.objective_at_s, work_s)
+        kind = call.kind
+        super().__init__(kind.priority, call.objective_at_s, work_s, kind.workspace)
         self.call = call
 
 
@@ -267,6 +268,8 @@
         if best is None:
             return self._keep(call, now_s)
         if not self._refuses or self._is_worth_it(best, call, now_s):
+            work_s = self._estimate_work_s(call)
+            self._line.record_use(call.kind.workspace, work_s, now_s)
             return int(best.vm_id)
         return self._keep(call, now_s)
 
@@ -315,7 +318,7 @@
                 view.record_soft_failure(now_s)
             return []
         self._estimates.record_answer(
-            call.kind.name, duration_s, conditions, view.slowdown_estimates
+            call.kind.route_name, duration_s, conditions, view.slowdown_estimates
         )
         report = self._servers[call.server].write_answer_report()
         view.record_answer_report(report, now_s)
@@ -390,7 +393,7 @@
     def _estimate_work_s(self, call: ModelCall) -> float:
         """Return the work of a call, in seconds."""
         kind = call.kind
-        return self._estimates.estimate_work_s(kind.name, kind.objective_s)
+        return self._estimates.estimate_work_s(kind.route_name, kind.objective_s)
 
     def _find_times(
         self, view: ServerView, call: ModelCall, now_s: float
@@ -410,9 +413,11 @@
         left_s = call.deadline_at_s - now_s
         waited_s = 0.0
         if call.is_known_first:
-            self._caller_waits.record_first_send(kind.name, left_s)
+            self._caller_waits.record_first_send(kind.route_name, left_s)
         else:
-            waited_s = self._caller_waits.estimate_waited_s(kind.name, left_s, False)
+            waited_s = self._caller_waits.estimate_waited_s(
+                kind.route_name, left_s, False
+            )
         return replace(call, objective_at_s=now_s + kind.objective_s - waited_s)
 
     def _keep(self, call: ModelCall, now_s: float) -> Decision:
