Play loads to zones with fewer servers, and count what each zone's callers get

FleetShape.server_zones spreads servers unevenly, and PlayOutcome.zones counts by the zone of the VM at which a caller came first.

--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/play.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/play.py
@@ -50,9 +50,16 @@
 
 @dataclass(slots=True)
 class PlayOutcome:
-    """What all callers got."""
+    """What all callers got.
+
+    Attributes
+    ----------
+    zones : dict
+        The same for the callers of each availability zone, by its index.
+    """
 
     kinds: dict[str, KindOutcome] = field(default_factory=dict)
+    zones: dict[int, KindOutcome] = field(default_factory=dict)
     credit: float = 0.0
     credit_owed: float = 0.0
 
@@ -64,12 +71,24 @@
 
 @dataclass(slots=True, frozen=True)
 class FleetShape:
-    """The VMs and servers of a play."""
+    """The VMs and servers of a play.
+
+    Attributes
+    ----------
+    server_zones : tuple of int
+        Zones of the servers, repeated until all have one; empty for an equal spread.
+    """
 
     vms: int = 13
     servers: int = 14
     zones: int = 4
     traits: ServerTraits = ServerTraits(slots=6, queue_max=12)  # noqa: RUF009
+    server_zones: tuple[int, ...] = ()
+
+    def find_server_zone(self, index: int) -> str:
+        """Return the availability zone of a server."""
+        zones = self.server_zones or tuple(range(self.zones))
+        return f"zone-{zones[index % len(zones)]}"
 
 
 PolicyMaker = Callable[[list[ModelServer], Random, str], Policy]
@@ -86,6 +105,7 @@
     server: int = -1
     sent_at_s: float = 0.0
     is_counted: bool = True
+    zone: int = 0
 
 
 class LoadPlay:
@@ -118,7 +138,7 @@
         self.servers = [
             ModelServer(
                 str(index),
-                f"zone-{index % shape.zones}",
+                shape.find_server_zone(index),
                 shape.traits,
                 Random(random.random()),
             )
@@ -133,7 +153,8 @@
         self._plan = plan
         for arrival in list_arrivals(plan, Random(random.random())):
             vm = random.randrange(shape.vms)
-            self._requests.append(_Request(len(self._requests), arrival, vm))
+            request = _Request(len(self._requests), arrival, vm, zone=vm % shape.zones)
+            self._requests.append(request)
         for server in range(shape.servers):
             start_s = random.random() * shape.traits.noise_s
             self._push(start_s, partial(self._shift, server))
@@ -152,8 +173,8 @@
             request.is_counted = request.arrival.at_s >= counted_from_s
             if not request.is_counted:
                 continue
-            outcome = self._outcome.kinds.setdefault(kind.name, KindOutcome())
-            outcome.asked += 1
+            for outcome in self._list_outcomes(request):
+                outcome.asked += 1
             self._outcome.credit_owed += kind.credit
         while self._events:
             now_s, _, act = heappop(self._events)
@@ -243,7 +264,8 @@
             self._push(back_s, partial(self._send, request))
             return
         if request.is_counted:
-            self._outcome.kinds[request.arrival.kind.name].refused += 1
+            for outcome in self._list_outcomes(request):
+                outcome.refused += 1
 
     def _plan_finish(self, server: int) -> None:
         """Plan the next finish of a server, in place of the one planned before."""
@@ -263,19 +285,29 @@
         kind = request.arrival.kind
         policy = self._policies[request.vm]
         if request.is_counted:
-            self._count(request.arrival, now_s - request.arrival.at_s)
+            self._count(request, now_s - request.arrival.at_s)
         duration_s = now_s - request.sent_at_s
         ended = EndedCall(request.number, kind, server)
         self._carry_out(policy.note_end(ended, duration_s, now_s), now_s)
 
-    def _count(self, arrival: Arrival, latency_s: float) -> None:
+    def _count(self, request: _Request, latency_s: float) -> None:
         """Count an answer by its time since the first send."""
-        kind = arrival.kind
-        outcome = self._outcome.kinds[kind.name]
-        outcome.latencies_s.append(latency_s)
-        if latency_s <= kind.objective_s:
-            outcome.in_time += 1
+        kind = request.arrival.kind
+        is_in_time = latency_s <= kind.objective_s
+        is_late = not is_in_time and latency_s <= request.arrival.deadline_s
+        for outcome in self._list_outcomes(request):
+            outcome.latencies_s.append(latency_s)
+            outcome.in_time += is_in_time
+            outcome.late += is_late
+        if is_in_time:
             self._outcome.credit += kind.credit
-        elif latency_s <= arrival.deadline_s:
-            outcome.late += 1
+        elif is_late:
             self._outcome.credit += kind.late_credit
+
+    def _list_outcomes(self, request: _Request) -> tuple[KindOutcome, KindOutcome]:
+        """Return where a request counts: at its kind, and at the zone of its caller."""
+        outcome = self._outcome
+        return (
+            outcome.kinds.setdefault(request.arrival.kind.name, KindOutcome()),
+            outcome.zones.setdefault(request.zone, KindOutcome()),
+        )
