Begin polls for waiting calls where capacity has been found

Polls for calls that wait exceed the budget of health checks, which left out those of other zones. Callers of a zone with few servers waited beside free capacity elsewhere. Polls now begin in the other zones while probes find clearly more capacity there than in the own one.

--- a/packages/cardamomtack/src/cardamomtack/placing/chooser.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/chooser.py
@@ -14,8 +14,6 @@
     FAILURE_COST_FACTOR,
     LATE_PROBED_MAX,
     OVERLOAD_OTHER_ZONES_MAX,
-    POLLED_MAX,
-    POLLED_OTHER_ZONES_MAX,
     PROBE_BUDGET_SHARE_MIN,
     PROBED_LAST_FAILURE_SHARE,
     PROBED_MAX,
@@ -96,6 +94,10 @@
         self._availability_zone = availability_zone
         self._random = random
 
+    def is_own_zone(self, server: ServerView) -> bool:
+        """Return whether a server is in the availability zone of this VM."""
+        return server.entry.availability_zone == self._availability_zone
+
     def sample_servers(
         self,
         service: ServiceView,
@@ -152,7 +154,7 @@
         estimate_s = work_s * estimate_share(server)
         if server.is_warming(now_s):
             estimate_s *= 1.0 + WARM_UP_COST_FACTOR
-        if server.entry.availability_zone != self._availability_zone:
+        if not self.is_own_zone(server):
             estimate_s += ZONE_CROSSING_S
         return estimate_s
 
@@ -213,11 +215,6 @@
     return size
 
 
-def choose_poll_size(is_own_zone: bool) -> int:
-    """Return how many servers are probed at a time for the calls that wait."""
-    return POLLED_MAX if is_own_zone else POLLED_OTHER_ZONES_MAX
-
-
 def assume_loads(service: ServiceView, servers: list[ServerView], now_s: float) -> None:
     """Assume that servers which have not reported lately are as busy as is usual."""
     for server in servers:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -17,7 +17,6 @@
     PlacementChooser,
     WorkEstimates,
     assume_loads,
-    choose_poll_size,
     choose_sample_size,
 )
 from cardamomtack.placing.server import (
@@ -27,6 +26,7 @@
     is_near_capacity,
     is_slow_with_capacity,
 )
+from cardamomtack.placing.zone_finds import ZoneFinds
 from cardamomtack_daemon.forwarding.call import ForwardedCall
 from cardamomtack_daemon.forwarding.prober import ProbedServer, ServerProber
 from cardamomtack_daemon.forwarding.wait_queue import AsyncQueuedCall, AsyncWaitQueue
@@ -83,6 +83,7 @@
         "_chooser",
         "_clock",
         "_dialer",
+        "_finds",
         "_pool",
         "_prober",
         "_queues",
@@ -100,6 +101,7 @@
         clock: Clock,
     ) -> None:
         self._dialer = dialer
+        self._finds: dict[str, ZoneFinds] = {}
         self._prober = prober
         self._chooser = chooser
         self._clock = clock
@@ -249,9 +251,11 @@
 
         for is_own_zone in (True, False):
             servers = self._sample(service, call, queue, is_own_zone)
-            probed += await self._prober.async_probe_in_turn(
+            answers = await self._prober.async_probe_in_turn(
                 service, servers, is_enough
             )
+            self._record_finds(service, answers)
+            probed += answers
             if any(is_enough(one) for one in probed):
                 break
         call.probes += len(probed)
@@ -328,12 +332,13 @@
         """Ask a few servers, and offer them to the calls that wait."""
         now_s = self._clock.read_monotonic_s()
         servers: list[ServerView] = []
-        for is_own_zone in (True, False):
-            size = choose_poll_size(is_own_zone)
+        for is_own_zone, size in self._find_finds(service).list_polls():
             servers += self._chooser.sample_servers(
                 service, call.tried, is_own_zone, now_s, size
             )
-        for one in await self._prober.async_probe(service, servers):
+        answers = await self._prober.async_probe(service, servers)
+        self._record_finds(service, answers)
+        for one in answers:
             if not queue.assign(one):
                 self._pool.release(one.server, one.connection)
 
@@ -490,6 +495,17 @@
         work_s = self.estimate_work_s(call)
         return self._chooser.choose_server(service, servers, work_s, now_s)
 
+    def _record_finds(self, service: ServiceView, probed: list[ProbedServer]) -> None:
+        """Record which of the servers that have just answered have capacity."""
+        finds = self._find_finds(service)
+        for one in probed:
+            is_own_zone = self._chooser.is_own_zone(one.server)
+            finds.record_probe(is_own_zone, not is_near_capacity(one.server))
+
+    def _find_finds(self, service: ServiceView) -> ZoneFinds:
+        """Return where probes for a service have found capacity lately."""
+        return self._finds.setdefault(service.name, ZoneFinds())
+
     def _find_queue(self, service: str) -> AsyncWaitQueue:
         """Return the calls that wait for capacity at a service."""
         queue = self._queues.get(service)
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/play.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/play.py
@@ -75,8 +75,9 @@
 
     Attributes
     ----------
-    server_zones : tuple of int
-        Zones of the servers, repeated until all have one; empty for an equal spread.
+    server_zones, vm_zones : tuple of int
+        Zones of the servers and of the VMs, repeated until all have one; empty for an
+        equal spread. A zone with more VMs has more callers.
     """
 
     vms: int = 13
@@ -84,11 +85,17 @@
     zones: int = 4
     traits: ServerTraits = ServerTraits(slots=6, queue_max=12)  # noqa: RUF009
     server_zones: tuple[int, ...] = ()
+    vm_zones: tuple[int, ...] = ()
 
-    def find_server_zone(self, index: int) -> str:
+    def find_server_zone(self, index: int) -> int:
         """Return the availability zone of a server."""
         zones = self.server_zones or tuple(range(self.zones))
-        return f"zone-{zones[index % len(zones)]}"
+        return zones[index % len(zones)]
+
+    def find_vm_zone(self, index: int) -> int:
+        """Return the availability zone of a VM."""
+        zones = self.vm_zones or tuple(range(self.zones))
+        return zones[index % len(zones)]
 
 
 PolicyMaker = Callable[[list[ModelServer], Random, str], Policy]
@@ -138,7 +145,7 @@
         self.servers = [
             ModelServer(
                 str(index),
-                shape.find_server_zone(index),
+                f"zone-{shape.find_server_zone(index)}",
                 shape.traits,
                 Random(random.random()),
             )
@@ -146,14 +153,18 @@
         ]
         self._policies = [
             make_policy(
-                self.servers, Random(random.random()), f"zone-{index % shape.zones}"
+                self.servers,
+                Random(random.random()),
+                f"zone-{shape.find_vm_zone(index)}",
             )
             for index in range(shape.vms)
         ]
         self._plan = plan
         for arrival in list_arrivals(plan, Random(random.random())):
             vm = random.randrange(shape.vms)
-            request = _Request(len(self._requests), arrival, vm, zone=vm % shape.zones)
+            request = _Request(
+                len(self._requests), arrival, vm, zone=shape.find_vm_zone(vm)
+            )
             self._requests.append(request)
         for server in range(shape.servers):
             start_s = random.random() * shape.traits.noise_s
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
@@ -23,7 +23,6 @@
     WorkEstimates,
     assume_loads,
     build_send_conditions,
-    choose_poll_size,
     choose_sample_size,
 )
 from cardamomtack.placing.server import (
@@ -35,6 +34,7 @@
 )
 from cardamomtack.placing.slowdown import SendConditions
 from cardamomtack.placing.wait_queue import QueuedCall, WaitQueue
+from cardamomtack.placing.zone_finds import ZoneFinds
 from cardamomtack_standins.model.load import KindLoad
 from cardamomtack_standins.model.server import ModelServer
 
@@ -238,6 +238,7 @@
         self.service = ServiceView("model")
         self._waits = waits
         self.asked = 0
+        self.finds = ZoneFinds()
         for index, server in enumerate(servers):
             entry = ServerEntry(
                 str(index),
@@ -284,8 +285,7 @@
                 self._line.remove(queued)
                 decisions.append((queued.call.number, self._refuse(queued.call, now_s)))
         if len(self._line):
-            for is_own_zone in (True, False):
-                size = choose_poll_size(is_own_zone)
+            for is_own_zone, size in self.finds.list_polls():
                 for view in self._chooser.sample_servers(
                     self.service, set(), is_own_zone, now_s, size
                 ):
@@ -371,6 +371,8 @@
         report = self._servers[int(view.vm_id)].write_report()
         self.service.record_report(report)
         view.record_report(report, now_s)
+        is_own_zone = self._chooser.is_own_zone(view)
+        self.finds.record_probe(is_own_zone, not is_near_capacity(view))
         return True
 
     def _is_enough(self, view: ServerView, call: ModelCall, now_s: float) -> bool:
