Turn less urgent calls away in proportion while urgent ones find no capacity

While urgent calls found no capacity lately, a new less urgent call whose work is not clearly shorter is placed with the probability with which urgent ones got capacity, at least a quarter. The refusal has a reason of its own in the log. A workspace beyond its share counts for no one's urgency.

--- a/packages/cardamomtack/src/cardamomtack/placing/chooser.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/chooser.py
@@ -94,6 +94,10 @@
         self._availability_zone = availability_zone
         self._random = random
 
+    def draw(self, share: float) -> bool:
+        """Return True for a share of the draws, from 0 to 1."""
+        return share >= 1.0 or self._random.random() < share
+
     def is_own_zone(self, server: ServerView) -> bool:
         """Return whether a server is in the availability zone of this VM."""
         return server.entry.availability_zone == self._availability_zone
--- a/packages/cardamomtack/src/cardamomtack/placing/recent_use.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/recent_use.py
@@ -8,11 +8,14 @@
 
 from __future__ import annotations
 
-from math import ceil
+from math import ceil, inf
 from typing import Final
 
 from cardamomtack.workspaces.policy import Workspace
 
+BEYOND_SHARE_FACTOR: Final = 1.5
+"""How many times the usual level a workspace uses that is beyond its share."""
+
 SHARES_MAX: Final = 512
 """Workspaces that are remembered at most; those with the least use are forgotten."""
 
@@ -20,6 +23,9 @@
 """Use below which a workspace is forgotten, in seconds of work."""
 
 USE_HALF_LIFE_S: Final = 2.0
+USUAL_LEVEL_AGE_S_MAX: Final = 0.1
+"""For how long the usual level is not worked out again."""
+
 WEIGHT_DEFAULT: Final = 1.0
 
 
@@ -61,10 +67,13 @@
 class RecentUse:
     """The capacity that one VM has given to workspaces lately, fading with time."""
 
-    __slots__ = ("_uses",)
+    __slots__ = ("_uses", "_usual_at_s", "_usual_level", "_weights")
 
     def __init__(self) -> None:
         self._uses: dict[str | None, tuple[float, float]] = {}
+        self._usual_at_s = -inf
+        self._usual_level = 0.0
+        self._weights: dict[str | None, float] = {}
 
     def __len__(self) -> int:
         """Return how many shares are remembered."""
@@ -80,6 +89,7 @@
         """
         share = find_share(workspace)
         self._uses[share] = (self.read_use_s(share, now_s) + work_s, now_s)
+        self._weights[share] = find_weight(workspace)
         if len(self._uses) > SHARES_MAX:
             self._forget(now_s)
 
@@ -95,6 +105,20 @@
         """Return what a workspace has used lately in proportion to its weight."""
         return self.read_use_s(find_share(workspace), now_s) / find_weight(workspace)
 
+    def is_beyond_share(self, workspace: Workspace | None, now_s: float) -> bool:
+        """Return whether a workspace has used clearly more than the usual level."""
+        if len(self._uses) <= 1:
+            return False
+        if now_s - self._usual_at_s > USUAL_LEVEL_AGE_S_MAX:
+            self._usual_at_s = now_s
+            uses = {share: self.read_use_s(share, now_s) for share in self._uses}
+            used = [share for share, use_s in uses.items() if use_s > USE_FORGOTTEN_S]
+            weight = sum(self._weights[share] for share in used)
+            total_s = sum(uses[share] for share in used)
+            self._usual_level = total_s / weight if used else 0.0
+        level = self.compute_level(workspace, now_s)
+        return level > BEYOND_SHARE_FACTOR * self._usual_level
+
     def _forget(self, now_s: float) -> None:
         """Forget idle workspaces, and half of the others if there are too many."""
         uses = {share: self.read_use_s(share, now_s) for share in self._uses}
@@ -104,3 +128,4 @@
         )
         kept_max = SHARES_MAX // 2 if len(kept) > SHARES_MAX // 2 else len(kept)
         self._uses = {share: (uses[share], now_s) for share in kept[:kept_max]}
+        self._weights = {share: self._weights[share] for share in self._uses}
--- a/packages/cardamomtack/src/cardamomtack/placing/wait_queue.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/wait_queue.py
@@ -32,6 +32,7 @@
     find_share,
     find_weight,
 )
+from cardamomtack.placing.urgent_demand import UrgentDemand
 from cardamomtack.workspaces.policy import Workspace
 
 RATE_WINDOW_S = 1.0
@@ -82,7 +83,14 @@
 class WaitQueue:
     """The calls of one VM that wait for capacity at the servers of one service."""
 
-    __slots__ = ("_assigned", "_calls", "_ended_at_s", "_overloaded_at_s", "_use")
+    __slots__ = (
+        "_assigned",
+        "_calls",
+        "_demand",
+        "_ended_at_s",
+        "_overloaded_at_s",
+        "_use",
+    )
 
     def __init__(self) -> None:
         self._calls: list[QueuedCall] = []
@@ -90,6 +98,7 @@
         self._assigned = 0
         self._overloaded_at_s = -inf
         self._use = RecentUse()
+        self._demand = UrgentDemand()
 
     def __len__(self) -> int:
         """Return how many calls wait."""
@@ -113,6 +122,8 @@
         left_s = call.latest_start_at_s - now_s
         if left_s <= 0:
             return False
+        if not self._use.is_beyond_share(call.workspace, now_s):
+            self._demand.record_shortage(call.priority, now_s)
         ahead = self.count_ahead(call, now_s)
         if ahead / self._estimate_slots_per_s(now_s) > left_s:
             return False
@@ -148,17 +159,22 @@
             ahead += count_earlier_turns(use_s, weight, call.work_s, level, count)
         return ahead + own
 
-    def record_use(
-        self, workspace: Workspace | None, work_s: float, now_s: float
-    ) -> None:
-        """Count capacity that a call got without waiting.
+    def record_call(self, call: QueuedCall, now_s: float) -> float:
+        """Count a call that has come, and return with which probability it is placed.
 
-        Parameters
-        ----------
-        work_s : float
-            Its work on an idle server, in seconds.
+        Urgent calls of a workspace that is beyond its share make no others wait.
         """
-        self._use.record(workspace, work_s, now_s)
+        is_urgent = not self._use.is_beyond_share(call.workspace, now_s)
+        if is_urgent and call.objective_at_s > now_s:
+            self._demand.record_call(call.priority, call.work_s, now_s)
+        return self._demand.compute_admitted_share(call.priority, call.work_s, now_s)
+
+    def record_placed(self, call: QueuedCall, now_s: float) -> None:
+        """Count capacity that a call got without waiting."""
+        is_late = call.objective_at_s <= now_s
+        if not is_late and not self._use.is_beyond_share(call.workspace, now_s):
+            self._demand.record_placed(call.priority, now_s)
+        self._use.record(call.workspace, call.work_s, now_s)
 
     def record_freed_slot(self, now_s: float) -> None:
         """Count a slot that a request of this VM has freed."""
@@ -182,6 +198,8 @@
             if is_fit(first):
                 self._assigned += 1
                 self._use.record(first.workspace, first.work_s, now_s)
+                if not self._use.is_beyond_share(first.workspace, now_s):
+                    self._demand.record_placed(first.priority, now_s)
                 return first
             calls.remove(first)
         return None
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
@@ -49,6 +49,8 @@
         Servers that were probed for their load.
     waited_s : float
         For how long it waited for capacity, in seconds.
+    refusal : str
+        Why it was not placed, where that is known; empty otherwise.
     workspace : Workspace or None
         Whose key it came with; None where the deployment has no workspaces, or on a
         public route without a known key.
@@ -70,6 +72,7 @@
     estimate_s: float | None = None
     probes: int = 0
     waited_s: float = 0.0
+    refusal: str = ""
     workspace: Workspace | None = None
 
     @property
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -233,7 +233,8 @@
         limits = self._placer.find_limits(call)
         is_proved = result is None or result.outcome is SendOutcome.NOT_RUN
         if limits is None or not is_proved:
-            return self._finish(call, result, "no server can answer in time")
+            reason = call.refusal or "no server can answer in time"
+            return self._finish(call, result, reason)
         reason = "servers want no request yet"
         now_s = self._clock.read_monotonic_s()
         schedule = self._returns.setdefault(call.service, ReturnSchedule())
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -26,6 +26,7 @@
     is_near_capacity,
     is_slow_with_capacity,
 )
+from cardamomtack.placing.wait_queue import QueuedCall
 from cardamomtack.placing.zone_finds import ZoneFinds
 from cardamomtack_daemon.forwarding.call import ForwardedCall
 from cardamomtack_daemon.forwarding.prober import ProbedServer, ServerProber
@@ -38,6 +39,8 @@
 )
 from cardamomtack_daemon.tunnels.dialer import ServerDialer
 
+REASON_URGENT = "more urgent requests find no capacity"
+
 
 @dataclass(slots=True, frozen=True)
 class ServiceLimits:
@@ -123,6 +126,9 @@
         may_wait : bool
             Whether the call may wait until a server has capacity for it.
         """
+        if may_wait and not call.sends and not self._admits(call):
+            call.refusal = REASON_URGENT
+            return None
         while self.find_limits(call) is None:
             placed = await self._async_find(call, may_wait)
             now_s = self._clock.read_monotonic_s()
@@ -175,9 +181,19 @@
         if placed is None and queue.is_empty:
             placed = await self._async_place_without_capacity(service, call)
         if placed is not None:
-            queue.record_use(call.workspace, self.estimate_work_s(call))
+            queue.record_placed(self._rank(call))
         return placed
 
+    def _admits(self, call: ForwardedCall) -> bool:
+        """Return whether a new call is placed beside more urgent ones, and count it."""
+        queue = self._find_queue(call.service)
+        return self._chooser.draw(queue.record_call(self._rank(call)))
+
+    def _rank(self, call: ForwardedCall) -> QueuedCall:
+        """Return what decides about the order of a call."""
+        work_s = self.estimate_work_s(call)
+        return QueuedCall(call.priority, call.objective_s, work_s, call.workspace)
+
     def _reaches_none(self, service: ServiceView) -> bool:
         """Return whether no server of a service is known to be reached by any VM.
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/wait_queue.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/wait_queue.py
@@ -79,9 +79,13 @@
         """Count a slot that a request of this VM has freed."""
         self._queue.record_freed_slot(self._clock.read_monotonic_s())
 
-    def record_use(self, workspace: Workspace | None, work_s: float) -> None:
+    def record_call(self, call: QueuedCall) -> float:
+        """Count a call that has come, and return how probably it is placed."""
+        return self._queue.record_call(call, self._clock.read_monotonic_s())
+
+    def record_placed(self, call: QueuedCall) -> None:
         """Count capacity that a call got without waiting."""
-        self._queue.record_use(workspace, work_s, self._clock.read_monotonic_s())
+        self._queue.record_placed(call, self._clock.read_monotonic_s())
 
     def assign(self, probed: ProbedServer) -> bool:
         """Give a server to the call that goes first, and return whether one took it."""
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
@@ -211,6 +211,9 @@
         Health checks that this VM may send in a second.
     learns_waits : bool
         Whether it has to learn how long callers have waited; otherwise it knows.
+    yields : bool
+        Whether less urgent calls are turned away for urgent ones; False switches that
+        part off.
     """
 
     def __init__(
@@ -223,6 +226,7 @@
         waits: bool = True,
         checks_per_s: float = UNBOUNDED_PROBES_PER_S,
         learns_waits: bool = False,
+        yields: bool = True,
     ) -> None:
         super().__init__(servers, random)
         self._asks = asks
@@ -237,6 +241,7 @@
         self._refuses = refuses
         self.service = ServiceView("model")
         self._waits = waits
+        self._yields = yields
         self.asked = 0
         self.finds = ZoneFinds()
         for index, server in enumerate(servers):
@@ -263,14 +268,15 @@
         """Ask servers in turn and place, refuse or keep by what they tell."""
         if self._learns_waits:
             call = self._estimate_objective(call, now_s)
+        if not self._admits(call, now_s):
+            return self._refuse(call, now_s)
         if len(self._line):
             return self._keep(call, now_s)
         best = self._find_best(call, now_s)
         if best is None:
             return self._keep(call, now_s)
         if not self._refuses or self._is_worth_it(best, call, now_s):
-            work_s = self._estimate_work_s(call)
-            self._line.record_use(call.kind.workspace, work_s, now_s)
+            self._line.record_placed(self._rank(call), now_s)
             return int(best.vm_id)
         return self._keep(call, now_s)
 
@@ -328,6 +334,15 @@
             self.service.add_answered(view)
         return decisions
 
+    def _admits(self, call: ModelCall, now_s: float) -> bool:
+        """Return whether a call is placed beside more urgent ones, and count it."""
+        share = self._line.record_call(self._rank(call), now_s)
+        return not self._yields or self._chooser.draw(share)
+
+    def _rank(self, call: ModelCall) -> _ModelQueuedCall:
+        """Return what decides about the order of a call."""
+        return _ModelQueuedCall(call, self._estimate_work_s(call))
+
     def _find_best(self, call: ModelCall, now_s: float) -> ServerView | None:
         """Return a server that has just answered, or the best of the probed ones."""
         for view in self.service.list_fresh(now_s):
@@ -424,8 +439,7 @@
 
     def _keep(self, call: ModelCall, now_s: float) -> Decision:
         """Let a call wait, or send it back."""
-        work_s = self._estimate_work_s(call)
-        queued = _ModelQueuedCall(call, work_s)
+        queued = self._rank(call)
         if self._waits and self._line.enqueue(queued, now_s):
             return None
         return self._refuse(call, now_s)
--- a/tests/cardamomtack/placing/test_slowdown.py
+++ b/tests/cardamomtack/placing/test_slowdown.py
@@ -130,30 +130,31 @@
 class PlayedTraitsTest(unittest.TestCase):
     """Servers that behave otherwise than is assumed at the start."""
 
-    def play(self, traits):
-        """Return what is learnt in a play, and the credit share."""
+    def play(self, traits, seed):
+        """Return what is learnt in a play."""
         policies = []
 
         def make(servers, random, zone):
             policies.append(AskingPolicy(servers, random, zone))
             return policies[-1]
 
-        plan = plan_desk(20.0, ((0.0, 20.0, 2.2),))
-        outcome = LoadPlay(plan, FleetShape(traits=traits), make, 1).run(5.0)
-        return [
-            policy.service.slowdown_estimates for policy in policies
-        ], outcome.credit_share
+        # A shorter load has too few trials of slow servers for some seeds.
+        plan = plan_desk(40.0, ((0.0, 40.0, 2.2),))
+        LoadPlay(plan, FleetShape(traits=traits), make, seed).run(5.0)
+        return [policy.service.slowdown_estimates for policy in policies]
 
     def test_both_ways_of_a_speed_are_learnt(self):
-        carries = []
-        for keeps_speed in (True, False):
-            traits = ServerTraits(slots=6, queue_max=12, keeps_speed=keeps_speed)
-            learnt, _ = self.play(traits)
-            carries.append(
-                sum(one.slowness_persistence for one in learnt) / len(learnt)
-            )
-        self.assertGreater(carries[0], 0.9)
-        self.assertLess(carries[1], carries[0] - 0.05)
+        for seed in (1, 2, 3):
+            carries = []
+            for keeps_speed in (True, False):
+                traits = ServerTraits(slots=6, queue_max=12, keeps_speed=keeps_speed)
+                learnt = self.play(traits, seed)
+                carries.append(
+                    sum(one.slowness_persistence for one in learnt) / len(learnt)
+                )
+            with self.subTest(seed=seed):
+                self.assertGreater(carries[0], 0.9)
+                self.assertLess(carries[1], carries[0] - 0.05)
 
 
 if __name__ == "__main__":
--- a/tests/cardamomtack/placing/test_workspace_order.py
+++ b/tests/cardamomtack/placing/test_workspace_order.py
@@ -50,7 +50,7 @@
 
     def test_capacity_got_without_waiting_counts(self):
         for _ in range(10):
-            self.queue.record_use(LARGE, WORK_S, 0.0)
+            self.queue.record_placed(make_call(LARGE), 0.0)
         self.enqueue(4, LARGE)
         self.enqueue(4, SMALL)
         self.assertEqual(self.take(4), {SMALL: 4})
@@ -63,7 +63,7 @@
         self.assertAlmostEqual(taken[heavy], 9, delta=1)
 
     def test_urgent_calls_go_first_whatever_their_workspace_has_used(self):
-        self.queue.record_use(LARGE, 5.0, 0.0)
+        self.queue.record_placed(QueuedCall(1, 9.0, 5.0, LARGE), 0.0)
         self.enqueue(3, SMALL, 1)
         self.enqueue(3, LARGE, 0)
         self.assertEqual(self.take(LONGEST_WAITING_EVERY - 1), {LARGE: 3})
@@ -90,9 +90,17 @@
             use.record(Workspace(f"w{number}"), WORK_S, number * 0.001)
         self.assertLessEqual(len(use), SHARES_MAX)
 
+    def test_a_workspace_beyond_its_share_is_known(self):
+        use = RecentUse()
+        use.record(LARGE, 1.0, 0.0)
+        self.assertFalse(use.is_beyond_share(LARGE, 0.0))
+        use.record(SMALL, 0.1, 0.2)
+        self.assertTrue(use.is_beyond_share(LARGE, 0.2))
+        self.assertFalse(use.is_beyond_share(SMALL, 0.2))
+
     def test_use_fades(self):
-        self.queue.record_use(LARGE, 1.0, 0.0)
-        self.queue.record_use(SMALL, 0.2, 60.0)
+        self.queue.record_placed(QueuedCall(1, 9.0, 1.0, LARGE), 0.0)
+        self.queue.record_placed(QueuedCall(1, 9.0, 0.2, SMALL), 60.0)
         self.enqueue(1, LARGE)
         self.enqueue(1, SMALL)
         calls = self.queue.list_calls()
