Log the position at which a call joined the queue

A refusal in an overload did not tell whether the call had waited, or how many would have gone before it.

--- a/packages/cardamomtack/src/cardamomtack/placing/wait_queue.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/wait_queue.py
@@ -56,11 +56,14 @@
     ----------
     latest_start_at_s : float
         Monotonic time until which it may still be answered in time, in seconds.
+    position : int or None
+        Calls that would go before it when it joined, or was refused for them.
     """
 
     __slots__ = (
         "latest_start_at_s",
         "objective_at_s",
+        "position",
         "priority",
         "work_s",
         "workspace",
@@ -75,6 +78,7 @@
     ) -> None:
         self.latest_start_at_s = objective_at_s - WAIT_WORK_FACTOR * work_s
         self.objective_at_s = objective_at_s
+        self.position: int | None = None
         self.priority = priority
         self.work_s = work_s
         self.workspace = workspace
@@ -124,8 +128,8 @@
             return False
         if not self._use.is_beyond_share(call.workspace, now_s):
             self._demand.record_shortage(call.priority, now_s)
-        ahead = self.count_ahead(call, now_s)
-        if ahead / self._estimate_slots_per_s(now_s) > left_s:
+        call.position = self.count_ahead(call, now_s)
+        if call.position / self._estimate_slots_per_s(now_s) > left_s:
             return False
         self._calls.append(call)
         return True
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
@@ -49,6 +49,8 @@
         Servers that were probed for their load.
     waited_s : float
         For how long it waited for capacity, in seconds.
+    position : int or None
+        Calls that would go before it when it began to wait or was refused for them.
     refusal : str
         Why it was not placed, where that is known; empty otherwise.
     workspace : Workspace or None
@@ -72,6 +74,7 @@
     estimate_s: float | None = None
     probes: int = 0
     waited_s: float = 0.0
+    position: int | None = None
     refusal: str = ""
     workspace: Workspace | None = None
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/decisions.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/decisions.py
@@ -94,6 +94,7 @@
             objective_left_ms=int((call.objective_s - call.arrived_s) * MS_PER_S),
             asked=call.probes,
             waited_ms=int(call.waited_s * MS_PER_S),
+            position=-1 if call.position is None else call.position,
             sends=call.sends,
         )
         if not is_first_send_success:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -333,6 +333,7 @@
             placed = await queue.async_wait(queued, poll)
             is_done = True
         finally:
+            call.position = queued.position
             call.waited_s += self._clock.read_monotonic_s() - began_s
             if not is_done and queued.assigned is not None:
                 self.release_connection(
--- a/tests/cardamomtack/placing/test_workspace_order.py
+++ b/tests/cardamomtack/placing/test_workspace_order.py
@@ -82,7 +82,9 @@
         self.assertLess(admitted, 2 * FREED_SLOTS_PER_S_MIN)
         self.assertFalse(self.enqueue(1, LARGE, 1, objective_at_s))
         self.assertEqual(self.enqueue(3, SMALL, 1, objective_at_s), 3)
-        self.assertEqual(self.queue.count_ahead(make_call(SMALL), 0.0), 3 + 4)
+        call = make_call(SMALL)
+        self.queue.enqueue(call, 0.0)
+        self.assertEqual(call.position, 3 + 4)
 
     def test_idle_workspaces_are_forgotten(self):
         use = RecentUse()
