Keep to a stable subset of the servers of large services

Where each VM has few requests a second, probes drawn from all servers need a new connection nearly each time. A VM now draws from 16 servers, or 8 for each of its requests a second: the first by a rendezvous hash of VM and server, half of them of its own zone, the others of the other zones in turn. Servers that may get no work are replaced by the next, and the subset grows up to twice while calls find no capacity. Services whose servers all fit are sampled as before.

--- a/packages/cardamomtack/src/cardamomtack/placing/chooser.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/chooser.py
@@ -35,6 +35,7 @@
     SendConditions,
     SlowdownEstimates,
 )
+from cardamomtack.placing.subset import ServerSubsets
 
 SAMPLED_FACTOR = 2
 SCANNED_FACTOR = 4
@@ -86,13 +87,21 @@
         Source of the samples.
     availability_zone : str
         Zone of this VM.
+    subsets : ServerSubsets or None
+        The servers that this VM keeps to; None for all.
     """
 
-    __slots__ = ("_availability_zone", "_random")
+    __slots__ = ("_availability_zone", "_random", "_subsets")
 
-    def __init__(self, random: Random, availability_zone: str) -> None:
+    def __init__(
+        self,
+        random: Random,
+        availability_zone: str,
+        subsets: ServerSubsets | None = None,
+    ) -> None:
         self._availability_zone = availability_zone
         self._random = random
+        self._subsets = subsets
 
     def draw(self, share: float) -> bool:
         """Return True for a share of the draws, from 0 to 1."""
@@ -121,7 +130,7 @@
         count : int
             Most servers to return.
         """
-        members = service.list_members(self._availability_zone, is_own_zone)
+        members = self._list_members(service, is_own_zone, now_s)
         sample: list[ServerView] = []
         if len(members) > SCANNED_FACTOR * count:
             # Most servers are usable, so a few more than needed nearly always do.
@@ -138,6 +147,25 @@
         )
         return sample
 
+    def _list_members(
+        self, service: ServiceView, is_own_zone: bool, now_s: float
+    ) -> list[ServerView]:
+        """Return the servers to draw from, of the own zone or of the others."""
+        zone = self._availability_zone
+        if self._subsets is None:
+            return service.list_members(zone, is_own_zone)
+        return self._subsets.list_members(service, zone, is_own_zone, now_s)
+
+    def record_request(self, service: ServiceView, now_s: float) -> None:
+        """Count a request, which the subset of its service grows with."""
+        if self._subsets is not None:
+            self._subsets.find_size(service).record_request(now_s)
+
+    def record_shortage(self, service: ServiceView, now_s: float) -> None:
+        """Widen the subset of a service in which a call found no capacity."""
+        if self._subsets is not None:
+            self._subsets.find_size(service).record_shortage(now_s)
+
     def sample_ejected(
         self, service: ServiceView, tried: set[str], now_s: float
     ) -> list[ServerView]:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -26,6 +26,7 @@
 from cardamomtack.limits.coordinator import LimitCoordinator
 from cardamomtack.placing.chooser import PlacementChooser
 from cardamomtack.placing.server import ServerView
+from cardamomtack.placing.subset import ServerSubsets
 from cardamomtack.quarantine.tracker import CrashTracker
 from cardamomtack.reach.helpers import HelperTable
 from cardamomtack.reach.ways import DirectWays
@@ -242,7 +243,9 @@
         settings = self._settings
         clock = self._clock
         self.memory = BodyMemory(settings.body_memory_bytes)
-        chooser = PlacementChooser(random, settings.availability_zone)
+        chooser = PlacementChooser(
+            random, settings.availability_zone, ServerSubsets(settings.vm_id)
+        )
         ways = DirectWays(self._registry, WayChanges(self._registry, self._pool), clock)
         tester = WayTester(self._pool.async_open, ways, clock, random)
         self._tunnels = TunnelServer(self._registry, ways, tester)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -186,6 +186,8 @@
 
     def _admits(self, call: ForwardedCall) -> bool:
         """Return whether a new call is placed beside more urgent ones, and count it."""
+        service = self._registry.find_service(call.service)
+        self._chooser.record_request(service, self._clock.read_monotonic_s())
         queue = self._find_queue(call.service)
         return self._chooser.draw(queue.record_call(self._rank(call)))
 
@@ -325,6 +327,7 @@
 
         work_s = self.estimate_work_s(call)
         began_s = self._clock.read_monotonic_s()
+        self._chooser.record_shortage(service, began_s)
         queued = AsyncQueuedCall(
             call.priority, call.objective_s, work_s, is_fit, call.workspace
         )
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
@@ -33,6 +33,7 @@
     is_slow_with_capacity,
 )
 from cardamomtack.placing.slowdown import SendConditions
+from cardamomtack.placing.subset import ServerSubsets
 from cardamomtack.placing.wait_queue import QueuedCall, WaitQueue
 from cardamomtack.placing.zone_finds import ZoneFinds
 from cardamomtack_standins.model.load import KindLoad
@@ -214,6 +215,9 @@
     yields : bool
         Whether less urgent calls are turned away for urgent ones; False switches that
         part off.
+    has_subset : bool
+        Whether it keeps to a subset of the servers where there are many; False
+        switches that part off.
     """
 
     def __init__(
@@ -227,12 +231,16 @@
         checks_per_s: float = UNBOUNDED_PROBES_PER_S,
         learns_waits: bool = False,
         yields: bool = True,
+        has_subset: bool = True,
     ) -> None:
         super().__init__(servers, random)
         self._asks = asks
         self._caller_waits = CallerWaitEstimator()
         self._conditions: dict[int, SendConditions] = {}
-        self._chooser = PlacementChooser(random, availability_zone)
+        # Read from the generator's state, so that it draws nothing.
+        vm_id = str(random.getstate()[1][1])
+        subsets = ServerSubsets(vm_id) if has_subset else None
+        self._chooser = PlacementChooser(random, availability_zone, subsets)
         self._estimates = WorkEstimates()
         self._learns_waits = learns_waits
         self._line = WaitQueue()
@@ -268,6 +276,7 @@
         """Ask servers in turn and place, refuse or keep by what they tell."""
         if self._learns_waits:
             call = self._estimate_objective(call, now_s)
+        self._chooser.record_request(self.service, now_s)
         if not self._admits(call, now_s):
             return self._refuse(call, now_s)
         if len(self._line):
@@ -439,6 +448,7 @@
 
     def _keep(self, call: ModelCall, now_s: float) -> Decision:
         """Let a call wait, or send it back."""
+        self._chooser.record_shortage(self.service, now_s)
         queued = self._rank(call)
         if self._waits and self._line.enqueue(queued, now_s):
             return None
