Let refused callers with much time left come back later

A caller that found no capacity came back after at most two objectives. Where its deadline is ten times its objective, the overload is still there, and it competes with those that can be in time, or is refused again. The longest pause is now four objectives; 0.3 of the time left still bounds it, so callers with deadlines of up to six objectives see no change.

--- a/packages/cardamomtack/src/cardamomtack/placing/admission.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/admission.py
@@ -26,7 +26,10 @@
 )
 
 PROMPT_RETRY_AFTER_S_MAX = 0.02
-RETRY_AFTER_OBJECTIVES_MAX = 2.0
+RETRY_AFTER_OBJECTIVES_MAX = 4.0
+"""Callers with much time left come back when those that can be in time have gone; a
+shorter pause brings them back into the same overload, where they are refused again."""
+
 RETRY_AFTER_S_MIN = 0.1
 RETRY_AFTER_SHARE_MAX = 0.3
 """Share of the caller's time left after which it may still be sent back."""
--- a/tests/cardamomtack/placing/test_refusing.py
+++ b/tests/cardamomtack/placing/test_refusing.py
@@ -5,6 +5,7 @@
 import unittest
 from dataclasses import replace
 from random import Random
+from unittest.mock import patch
 
 from cardamomtack.placing.admission import (
     RETRY_AFTER_OBJECTIVES_MAX,
@@ -13,7 +14,7 @@
     choose_retry_after_s,
 )
 from cardamomtack.placing.server import ServiceView
-from cardamomtack_standins.model.load import plan_short_work
+from cardamomtack_standins.model.load import KindLoad, LoadPlan, plan_short_work
 from cardamomtack_standins.model.play import FleetShape, LoadPlay
 from cardamomtack_standins.model.policies import (
     UNBOUNDED_PROBES_PER_S,
@@ -148,6 +149,20 @@
             with self.subTest(policy.__doc__):
                 self.assertGreater(own, average(policy))
 
+    def test_callers_with_ten_times_the_objective_left(self):
+        lookup = KindLoad("lookup", 399.0, 0.22, 0.612, 6.116, 0, sends_max=3)
+        plan = LoadPlan((lookup,), 6.0)
+        shape = FleetShape(124, 104, 4, ServerTraits(2, 2))
+        own = play(plan, shape, AskingPolicy, PROBES_PER_S)
+        with patch("cardamomtack.placing.admission.RETRY_AFTER_OBJECTIVES_MAX", 2.0):
+            early = play(plan, shape, AskingPolicy, PROBES_PER_S)
+        self.assertGreater(average_credit(own), average_credit(early))
+        served = [
+            sum(one.kinds["lookup"].served_share for one in outcomes) / len(SEEDS)
+            for outcomes in (own, early)
+        ]
+        self.assertGreater(served[0], served[1] - 0.02)
+
     def test_servers_that_reject_requests_in_spite_of_capacity(self):
         rejecting = ServerTraits(6, 12, rejected_share=REJECTED_SHARE)
         shape = replace(SHAPE, traits=rejecting)
