--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -32,6 +32,7 @@
 from cardamomtack.memory.shares import divide_descriptors, divide_memory
 from cardamomtack.placing.chooser import PlacementChooser
 from cardamomtack.placing.server import ServerView
+from cardamomtack.placing.subset import ServerSubsets
 from cardamomtack.quarantine.tracker import CrashTracker
 from cardamomtack.reach.helpers import HelperTable
 from cardamomtack.reach.ways import DirectWays
@@ -284,7 +285,9 @@
             ResponseBudget(memory.responses_bytes, clock), clock
         )
         self._pool.idle_max = descriptors.idle_servers
-        chooser = PlacementChooser(random, settings.availability_zone)
+        chooser = PlacementChooser(
+            random, settings.availability_zone, ServerSubsets(settings.vm_id)
+        )
         ways = DirectWays(self._registry, WayChanges(self._registry, self._pool), clock)
         tester = WayTester(self._pool.async_open, ways, clock, random)
         self._tunnels = TunnelServer(self._registry, ways, tester, descriptors.tunnels)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -17,7 +17,6 @@
     PlacementChooser,
     WorkEstimates,
     assume_loads,
-    choose_poll_size,
     choose_sample_size,
 )
 from cardamomtack.placing.server import (
@@ -27,6 +26,8 @@
     is_near_capacity,
     is_slow_with_capacity,
 )
+from cardamomtack.placing.wait_queue import QueuedCall
+from cardamomtack.placing.zone_finds import ZoneFinds
 from cardamomtack_daemon.forwarding.call import ForwardedCall
 from cardamomtack_daemon.forwarding.prober import ProbedServer, ServerProber
 from cardamomtack_daemon.forwarding.wait_queue import AsyncQueuedCall, AsyncWaitQueue
@@ -38,6 +39,8 @@
 )
 from cardamomtack_daemon.tunnels.dialer import ServerDialer
 
+REASON_URGENT = "more urgent requests find no capacity"
+
 
 @dataclass(slots=True, frozen=True)
 class ServiceLimits:
@@ -83,6 +86,7 @@
         "_chooser",
         "_clock",
         "_dialer",
+        "_finds",
         "_pool",
         "_prober",
         "_queues",
@@ -100,6 +104,7 @@
         clock: Clock,
     ) -> None:
         self._dialer = dialer
+        self._finds: dict[str, ZoneFinds] = {}
         self._prober = prober
         self._chooser = chooser
         self._clock = clock
@@ -122,6 +127,9 @@
             Whether the call may wait until a server has capacity for it.
         """
         service = self._registry.find_service(call.service)
+        if may_wait and not call.sends and not self._admits(call):
+            call.refusal = REASON_URGENT
+            return None
         while not service.is_evacuated and self.find_limits(call) is None:
             placed = await self._async_find(call, may_wait)
             now_s = self._clock.read_monotonic_s()
@@ -173,10 +181,26 @@
             placed = await self._async_place_probed(service, call, queue)
         if placed is None and may_wait:
             placed = await self._async_wait(service, call, queue)
+            if placed is not None:
+                return placed
         if placed is None and queue.is_empty:
             placed = await self._async_place_without_capacity(service, call)
+        if placed is not None:
+            queue.record_placed(self._rank(call))
         return placed
 
+    def _admits(self, call: ForwardedCall) -> bool:
+        """Return whether a new call is placed beside more urgent ones, and count it."""
+        service = self._registry.find_service(call.service)
+        self._chooser.record_request(service, self._clock.read_monotonic_s())
+        queue = self._find_queue(call.service)
+        return self._chooser.draw(queue.record_call(self._rank(call)))
+
+    def _rank(self, call: ForwardedCall) -> QueuedCall:
+        """Return what decides about the order of a call."""
+        work_s = self.estimate_work_s(call)
+        return QueuedCall(call.priority, call.objective_s, work_s, call.workspace)
+
     def _reaches_none(self, service: ServiceView) -> bool:
         """Return whether no server of a service is known to be reached by any VM.
 
@@ -250,9 +274,11 @@
 
         for is_own_zone in (True, False):
             servers = self._sample(service, call, queue, is_own_zone)
-            probed += await self._prober.async_probe_in_turn(
+            answers = await self._prober.async_probe_in_turn(
                 service, servers, is_enough
             )
+            self._record_finds(service, answers)
+            probed += answers
             if any(is_enough(one) for one in probed):
                 break
         call.probes += len(probed)
@@ -306,7 +332,10 @@
 
         work_s = self.estimate_work_s(call)
         began_s = self._clock.read_monotonic_s()
-        queued = AsyncQueuedCall(call.priority, call.objective_s, work_s, is_fit)
+        self._chooser.record_shortage(service, began_s)
+        queued = AsyncQueuedCall(
+            call.priority, call.objective_s, work_s, is_fit, call.workspace
+        )
         is_done = False
         try:
             placed = await queue.async_wait(
@@ -314,6 +343,7 @@
             )
             is_done = True
         finally:
+            call.position = queued.position
             call.waited_s += self._clock.read_monotonic_s() - began_s
             if not is_done and queued.assigned is not None:
                 self.release_connection(
@@ -329,12 +359,13 @@
         """Ask a few servers, and offer them to the calls that wait."""
         now_s = self._clock.read_monotonic_s()
         servers: list[ServerView] = []
-        for is_own_zone in (True, False):
-            size = choose_poll_size(is_own_zone)
+        for is_own_zone, size in self._find_finds(service).list_polls():
             servers += self._chooser.sample_servers(
                 service, call.tried, is_own_zone, now_s, size
             )
-        for one in await self._prober.async_probe(service, servers):
+        answers = await self._prober.async_probe(service, servers)
+        self._record_finds(service, answers)
+        for one in answers:
             if not queue.assign(one):
                 self._pool.release(one.server, one.connection)
 
@@ -491,6 +522,17 @@
         work_s = self.estimate_work_s(call)
         return self._chooser.choose_server(service, servers, work_s, now_s)
 
+    def _record_finds(self, service: ServiceView, probed: list[ProbedServer]) -> None:
+        """Record which of the servers that have just answered have capacity."""
+        finds = self._find_finds(service)
+        for one in probed:
+            is_own_zone = self._chooser.is_own_zone(one.server)
+            finds.record_probe(is_own_zone, not is_near_capacity(one.server))
+
+    def _find_finds(self, service: ServiceView) -> ZoneFinds:
+        """Return where probes for a service have found capacity lately."""
+        return self._finds.setdefault(service.name, ZoneFinds())
+
     def _find_queue(self, service: str) -> AsyncWaitQueue:
         """Return the calls that wait for capacity at a service."""
         queue = self._queues.get(service)
--- a/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
+++ b/packages/cardamomtack_standins/src/cardamomtack_standins/model/policies.py
@@ -23,7 +23,6 @@
     WorkEstimates,
     assume_loads,
     build_send_conditions,
-    choose_poll_size,
     choose_sample_size,
 )
 from cardamomtack.placing.server import (
@@ -34,7 +33,9 @@
     is_slow_with_capacity,
 )
 from cardamomtack.placing.slowdown import SendConditions
+from cardamomtack.placing.subset import ServerSubsets
 from cardamomtack.placing.wait_queue import QueuedCall, WaitQueue
+from cardamomtack.placing.zone_finds import ZoneFinds
 from cardamomtack_standins.model.load import KindLoad
 from cardamomtack_standins.model.server import ModelServer
 
@@ -191,7 +192,8 @@
     __slots__ = ("call",)
 
     def __init__(self, call: ModelCall, work_s: float) -> None:
-        super().__init__(call.kind.priority, call.objective_at_s, work_s)
+        kind = call.kind
+        super().__init__(kind.priority, call.objective_at_s, work_s, kind.workspace)
         self.call = call
 
 
@@ -210,6 +212,12 @@
         Health checks that this VM may send in a second.
     learns_waits : bool
         Whether it has to learn how long callers have waited; otherwise it knows.
+    yields : bool
+        Whether less urgent calls are turned away for urgent ones; False switches that
+        part off.
+    has_subset : bool
+        Whether it keeps to a subset of the servers where there are many; False
+        switches that part off.
     """
 
     def __init__(
@@ -222,12 +230,17 @@
         waits: bool = True,
         checks_per_s: float = UNBOUNDED_PROBES_PER_S,
         learns_waits: bool = False,
+        yields: bool = True,
+        has_subset: bool = True,
     ) -> None:
         super().__init__(servers, random)
         self._asks = asks
         self._caller_waits = CallerWaitEstimator()
         self._conditions: dict[int, SendConditions] = {}
-        self._chooser = PlacementChooser(random, availability_zone)
+        # Read from the generator's state, so that it draws nothing.
+        vm_id = str(random.getstate()[1][1])
+        subsets = ServerSubsets(vm_id) if has_subset else None
+        self._chooser = PlacementChooser(random, availability_zone, subsets)
         self._estimates = WorkEstimates()
         self._learns_waits = learns_waits
         self._line = WaitQueue()
@@ -236,7 +249,9 @@
         self._refuses = refuses
         self.service = ServiceView("model")
         self._waits = waits
+        self._yields = yields
         self.asked = 0
+        self.finds = ZoneFinds()
         for index, server in enumerate(servers):
             entry = ServerEntry(
                 str(index),
@@ -261,12 +276,16 @@
         """Ask servers in turn and place, refuse or keep by what they tell."""
         if self._learns_waits:
             call = self._estimate_objective(call, now_s)
+        self._chooser.record_request(self.service, now_s)
+        if not self._admits(call, now_s):
+            return self._refuse(call, now_s)
         if len(self._line):
             return self._keep(call, now_s)
         best = self._find_best(call, now_s)
         if best is None:
             return self._keep(call, now_s)
         if not self._refuses or self._is_worth_it(best, call, now_s):
+            self._line.record_placed(self._rank(call), now_s)
             return int(best.vm_id)
         return self._keep(call, now_s)
 
@@ -281,8 +300,7 @@
                 self._line.remove(queued)
                 decisions.append((queued.call.number, self._refuse(queued.call, now_s)))
         if len(self._line):
-            for is_own_zone in (True, False):
-                size = choose_poll_size(is_own_zone)
+            for is_own_zone, size in self.finds.list_polls():
                 for view in self._chooser.sample_servers(
                     self.service, set(), is_own_zone, now_s, size
                 ):
@@ -315,7 +333,7 @@
                 view.record_soft_failure(now_s)
             return []
         self._estimates.record_answer(
-            call.kind.name, duration_s, conditions, view.slowdown_estimates
+            call.kind.route_name, duration_s, conditions, view.slowdown_estimates
         )
         report = self._servers[call.server].write_answer_report()
         view.record_answer_report(report, now_s)
@@ -325,6 +343,15 @@
             self.service.add_answered(view)
         return decisions
 
+    def _admits(self, call: ModelCall, now_s: float) -> bool:
+        """Return whether a call is placed beside more urgent ones, and count it."""
+        share = self._line.record_call(self._rank(call), now_s)
+        return not self._yields or self._chooser.draw(share)
+
+    def _rank(self, call: ModelCall) -> _ModelQueuedCall:
+        """Return what decides about the order of a call."""
+        return _ModelQueuedCall(call, self._estimate_work_s(call))
+
     def _find_best(self, call: ModelCall, now_s: float) -> ServerView | None:
         """Return a server that has just answered, or the best of the probed ones."""
         for view in self.service.list_fresh(now_s):
@@ -368,6 +395,8 @@
         report = self._servers[int(view.vm_id)].write_report()
         self.service.record_report(report)
         view.record_report(report, now_s)
+        is_own_zone = self._chooser.is_own_zone(view)
+        self.finds.record_probe(is_own_zone, not is_near_capacity(view))
         return True
 
     def _is_enough(self, view: ServerView, call: ModelCall, now_s: float) -> bool:
@@ -390,7 +419,7 @@
     def _estimate_work_s(self, call: ModelCall) -> float:
         """Return the work of a call, in seconds."""
         kind = call.kind
-        return self._estimates.estimate_work_s(kind.name, kind.objective_s)
+        return self._estimates.estimate_work_s(kind.route_name, kind.objective_s)
 
     def _find_times(
         self, view: ServerView, call: ModelCall, now_s: float
@@ -410,15 +439,17 @@
         left_s = call.deadline_at_s - now_s
         waited_s = 0.0
         if call.is_known_first:
-            self._caller_waits.record_first_send(kind.name, left_s)
+            self._caller_waits.record_first_send(kind.route_name, left_s)
         else:
-            waited_s = self._caller_waits.estimate_waited_s(kind.name, left_s, False)
+            waited_s = self._caller_waits.estimate_waited_s(
+                kind.route_name, left_s, False
+            )
         return replace(call, objective_at_s=now_s + kind.objective_s - waited_s)
 
     def _keep(self, call: ModelCall, now_s: float) -> Decision:
         """Let a call wait, or send it back."""
-        work_s = self._estimate_work_s(call)
-        queued = _ModelQueuedCall(call, work_s)
+        self._chooser.record_shortage(self.service, now_s)
+        queued = self._rank(call)
         if self._waits and self._line.enqueue(queued, now_s):
             return None
         return self._refuse(call, now_s)
