--- a/packages/cardamomtack/src/cardamomtack/placing/zone_finds.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/zone_finds.py
@@ -13,9 +13,12 @@
 from cardamomtack.placing.const import POLLED_MAX, POLLED_OTHER_ZONES_MAX
 
 FOUND_GAIN: Final = 0.02
-MOVED_SHARE_MIN: Final = 0.53
-"""Part of the finds in other zones from which polls begin there; above 0.5, so that
-polls stay in the own zone where both find alike."""
+MOVED_SHARE_MIN: Final = 0.6
+"""Part of the finds in other zones from which polls begin there.
+
+That is half as many again as in the own zone. What differs less may be chance, and
+other zones cost bytes between them.
+"""
 
 PRIOR_PROBES: Final = 10.0
 """Probes by which other zones are taken to be like the own one at first."""
