Limit the tokens of a workspace that returns to its former holder

A holder keeps the bucket of a workspace until it is full. When another VM held the workspace in between, the kept bucket had been refilled for that time as well, so both VMs granted the same tokens: with burst 200 and rate 10, up to twice the burst in a window. The bucket now holds no more than one that begins with the new tenure.

test_workspace_that_comes_back_to_a_holder_brings_no_second_burst failed before (9 tokens in place of 5). tests/cardamomtack/quotas: 39 passed; tests/cardamomtack_daemon/quotas: 14 passed.

--- a/packages/cardamomtack/src/cardamomtack/quotas/bucket.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/bucket.py
@@ -80,6 +80,7 @@
         "_promises",
         "_returned_share",
         "_schedule",
+        "_taken_at_s",
         "quota",
     )
 
@@ -94,6 +95,7 @@
         self._promises: dict[int, tuple[float, int]] = {}
         self._returned_share = 1.0
         self._schedule = ReturnSchedule()
+        self._taken_at_s = now_s
         self.quota = quota
 
     def apply_quota(self, quota: Quota, held_free: float, now_s: float) -> None:
@@ -103,6 +105,7 @@
 
     def take(self, demand: TokenDemand, now_s: float) -> TokenGrant:
         """Give the tokens that there are, and times for who gets none."""
+        self._taken_at_s = now_s
         self._expire_promises(now_s)
         retries_s = [self._claim(key, now_s) for key in demand.keys]
         due = self._count_due(now_s)
@@ -113,6 +116,23 @@
                 retries_s[number] = 0.0
         return TokenGrant(retries_s, self._take_spare(demand.spare, due, now_s))
 
+    def limit_tokens(self, tokens: float, began_at_s: float, now_s: float) -> None:
+        """Leave no more tokens than a new bucket would have.
+
+        Where the VM has become the holder again since the last use, another holder may
+        have granted the tokens that were added meanwhile.
+
+        Parameters
+        ----------
+        tokens : float
+            Tokens with which a new bucket begins.
+        began_at_s : float
+            Monotonic time since which the VM is the holder, in seconds.
+        """
+        if began_at_s > self._taken_at_s:
+            added = max(0.0, now_s - began_at_s) * self.quota.rate_per_s
+            self._bucket.limit_tokens(tokens + added, now_s)
+
     def refund(self, count: int) -> None:
         """Take back tokens that were not used."""
         self._bucket.refund(count)
--- a/packages/cardamomtack/src/cardamomtack/quotas/ledger.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/ledger.py
@@ -61,8 +61,10 @@
                 return None
             bucket = QuotaBucket(quota, self.rule.start_tokens, began_at_s, now_s)
             self._buckets[name] = bucket
-        elif quota.version > bucket.quota.version:
-            bucket.apply_quota(quota, self.rule.held_free, now_s)
+        else:
+            if quota.version > bucket.quota.version:
+                bucket.apply_quota(quota, self.rule.held_free, now_s)
+            bucket.limit_tokens(self.rule.start_tokens, began_at_s, now_s)
         if not bucket.quota.rate_per_s:
             # The quota has ended, and the VM that asks does not know it yet.
             return TokenGrant([0.0] * len(demand.keys))
--- a/packages/cardamomtack/src/cardamomtack/util/token_bucket.py
+++ b/packages/cardamomtack/src/cardamomtack/util/token_bucket.py
@@ -36,6 +36,10 @@
         self._capacity = capacity
         self._tokens = min(self._tokens, capacity)
 
+    def limit_tokens(self, tokens: float, now_s: float) -> None:
+        """Drop the tokens beyond a number."""
+        self._tokens = min(self.count_tokens(now_s), tokens)
+
     def count_tokens(self, now_s: float) -> float:
         """Return how many tokens there are now."""
         self._refill(now_s)
--- a/tests/cardamomtack/quotas/test_ledger.py
+++ b/tests/cardamomtack/quotas/test_ledger.py
@@ -75,6 +75,11 @@
         self.assertEqual(self.ledger.count, 0)
         self.assertEqual(self.take(10.0, 100), 10)
 
+    def test_workspace_that_comes_back_to_a_holder_brings_no_second_burst(self):
+        """Guards against a kept bucket that ignores what another VM has granted."""
+        self.take(0.0, 100)
+        self.assertEqual(self.take(0.9, 100, began_at_s=0.9), 5)
+
     def test_requests_that_wait_for_a_server_leave_no_room_for_others(self):
         """Guards against a queue that empties beside a full burst."""
         self.take(0.0, 100)
