Ignore the claim of a VM that has already left

A claim under way while its VM leaves can arrive after the notice of leaving. It was recorded, and its workspaces were referred to the VM that is gone until the members changed again.

test_claim_that_arrives_after_its_vm_has_left_changes_nothing failed before (vm-1 in place of vm-0). tests/cardamomtack/quotas: 39 passed.

--- a/packages/cardamomtack/src/cardamomtack/quotas/holders.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/holders.py
@@ -267,7 +267,8 @@
         """
         self._found.clear()
         self._ceded.pop(vm_id, None)
-        if vm_id in view.vm_ids and vm_id != self.run[0]:
+        has_left = self._members.has_left(vm_id, view.incarnation)
+        if not has_left and vm_id in view.vm_ids and vm_id != self.run[0]:
             self._ceded[vm_id] = view
             if len(self._ceded) > CEDED_MAX:
                 del self._ceded[next(iter(self._ceded))]
--- a/tests/cardamomtack/quotas/test_holders.py
+++ b/tests/cardamomtack/quotas/test_holders.py
@@ -6,7 +6,12 @@
 
 from cardamomtack.generated.relay import Member
 from cardamomtack.quotas.const import JOIN_WAIT_S, YIELD_S
-from cardamomtack.quotas.holders import HolderTable, choose_holder, choose_holders
+from cardamomtack.quotas.holders import (
+    HolderTable,
+    HolderView,
+    choose_holder,
+    choose_holders,
+)
 from cardamomtack.replicas.members import MemberTable
 
 NAMES = [f"workspace-{number}" for number in range(200)]
@@ -157,6 +162,17 @@
                 self.count_granting([old_table, *tables], name, 1.0), 1
             )
 
+    def test_claim_that_arrives_after_its_vm_has_left_changes_nothing(self):
+        """Guards against a workspace that is left to a VM that is gone."""
+        vm = make_vm(1)
+        table = make_table(make_vm(0), [vm])
+        table._members.update_member(leave(vm))
+        table.refresh(1.0)
+        view = HolderView(vm.incarnation, ("vm-0", "vm-1"))
+        self.assertEqual(table.record_claim(vm.vm_id, view), [])
+        for name in NAMES:
+            self.assertEqual(table.find(name, 2.0).holder_id, "vm-0")
+
     def test_leaving_holder_is_followed_at_once_with_few_tokens(self):
         vms = [make_vm(number) for number in range(3)]
         table = make_table(vms[1], [vms[0], vms[2]])
