Report waiting requests by the age of their token

A request that used a spare token was reported as waiting 0.2 s after its admission, when the token could be 0.4 s old already. That is the limit beyond which the VM takes itself for suspended, so a short pause of the event loop had the request refused with 503.

test_request_with_an_old_spare_token_may_wait_for_a_server failed before. tests/cardamomtack_daemon/quotas: 14 passed.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/gate.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/gate.py
@@ -363,7 +363,9 @@
 
     def _watch(self, decision: QuotaDecision) -> None:
         """Tell the holder when the request still waits for a server after a while."""
-        get_running_loop().call_later(TOKEN_VALID_S, self._hold, decision)
+        # A spare token may be almost void when a request uses it.
+        delay_s = max(0.0, TOKEN_VALID_S - decision.age_s)
+        get_running_loop().call_later(delay_s, self._hold, decision)
 
     def _hold(self, decision: QuotaDecision) -> None:
         """Tell the holder that a request still waits for a server."""
--- a/tests/cardamomtack_daemon/quotas/test_asking.py
+++ b/tests/cardamomtack_daemon/quotas/test_asking.py
@@ -112,6 +112,23 @@
 
         self.play(scenario)
 
+    def test_request_with_an_old_spare_token_may_wait_for_a_server(self):
+        """Guards against a VM that takes itself for suspended, as the token is old."""
+
+        async def scenario(tasks, first, second):
+            await second.async_wait_held(SLOW)
+            (link,) = second.service._links.values()
+            await anyio.sleep(0.05)
+            asked_at_s = second.read_boot_s() - 0.8 * TOKEN_VALID_S
+            link._spare.add(SLOW.name, 1, asked_at_s)
+            (waiting,) = await second.async_ask(SLOW)
+            self.assertEqual(waiting.asked_at_s, asked_at_s)
+            second.offset_s = 0.25 * TOKEN_VALID_S
+            await anyio.sleep(1.5 * TOKEN_VALID_S)
+            self.assertTrue(second.gate.record_sent(waiting))
+
+        self.play(scenario)
+
     def test_token_is_void_when_the_vm_was_suspended(self):
         async def scenario(tasks, first, second):
             await second.async_wait_held(SLOW)
