Accept all versions of a configuration in messages about quotas

The version was checked as a number of at most 10^15, but a version of the platform has up to 15 hexadecimal digits. From 10^15 on VMs refused each other's messages, and all quotas were left to the fallback.

--- a/packages/cardamomtack/src/cardamomtack/quotas/const.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/const.py
@@ -52,5 +52,6 @@
 TOKEN_VALID_S: Final = 0.2
 """Time from the request for a token until it is void."""
 
+VERSION_MAX: Final = 2**63 - 1
 YIELD_S: Final = 0.5
 """For how long a VM grants on what another one has not claimed yet."""
--- a/packages/cardamomtack/src/cardamomtack/quotas/rule.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/rule.py
@@ -5,7 +5,11 @@
 from dataclasses import dataclass
 
 from cardamomtack.helpers.decoding import is_number
-from cardamomtack.quotas.const import HELD_SLACK_SHARE, START_SLACK_SHARE
+from cardamomtack.quotas.const import (
+    HELD_SLACK_SHARE,
+    START_SLACK_SHARE,
+    VERSION_MAX,
+)
 from cardamomtack.workspaces.policy import Workspace
 
 
@@ -30,8 +34,9 @@
     @property
     def is_sound(self) -> bool:
         """Return whether it can be computed with."""
-        numbers = (self.rate_per_s, self.burst, self.version)
-        return all(is_number(number) and number >= 0 for number in numbers)
+        numbers = (self.rate_per_s, self.burst)
+        is_version = 0 <= self.version <= VERSION_MAX
+        return is_version and all(is_number(one) and one >= 0 for one in numbers)
 
     @property
     def capacity(self) -> float:
--- a/tests/cardamomtack_daemon/quotas/test_failing_holders.py
+++ b/tests/cardamomtack_daemon/quotas/test_failing_holders.py
@@ -204,6 +204,19 @@
 
         self.play(scenario, numbers=(0,))
 
+    def test_longest_version_of_a_configuration_is_answered(self):
+        """Guards against VMs that refuse each other's messages as of some version."""
+
+        async def scenario(tasks, holder):
+            port = holder.settings.quota_port
+            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                messages = MessageStream(stream, QuotaMessage)
+                await stream.send(want(version=16**15 - 1))
+                message = await messages.async_receive(1.0)
+                self.assertEqual(len(message.answer.grants), 1)
+
+        self.play(scenario, numbers=(0,))
+
     def test_message_of_an_unknown_kind_is_passed_over(self):
         async def scenario(tasks, holder):
             port = holder.settings.quota_port
