--- a/tests/cardamomtack_daemon/quotas/test_failing_holders.py
+++ b/tests/cardamomtack_daemon/quotas/test_failing_holders.py
@@ -4,6 +4,7 @@
 
 import time
 import unittest
+from errno import EMFILE
 
 import anyio
 from msgspec import msgpack
@@ -182,6 +183,19 @@
 ]
 
 
+class FailingListener:
+    """Accepts nothing, as a process without free descriptors."""
+
+    async def serve(self, handler, task_group=None):
+        raise OSError(EMFILE, "Too many open files")
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *error):
+        return None
+
+
 class OddMessageTest(QuotaCase):
     """One VM that grants, and must grant on."""
 
@@ -217,6 +231,16 @@
 
         self.play(scenario, numbers=(0,))
 
+    def test_connection_that_can_not_be_accepted_ends_no_service(self):
+        """Guards against a VM that ends because it has no free descriptor."""
+
+        async def scenario(tasks, holder):
+            with anyio.move_on_after(0.3) as scope:
+                await holder.service._server.async_serve(FailingListener())
+            self.assertTrue(scope.cancelled_caught)
+
+        self.play(scenario, numbers=(0,))
+
     def test_message_of_an_unknown_kind_is_passed_over(self):
         async def scenario(tasks, holder):
             port = holder.settings.quota_port
