Use common terms for quotas in names, messages and log lines

Cause: names such as promise, ceded, doubt, yield and held needed looking up, and "hold" meant both the holder of a workspace and requests that wait for a server.

Log lines: `holder of quotas does not answer`, `the process was suspended`, `this VM was suspended`. Constants in alphabetical order. No change of behaviour.

--- a/packages/cardamomtack/src/cardamomtack/quotas/fallback.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/fallback.py
@@ -3,8 +3,8 @@
 All VMs together admit what the rule allows beyond the quotas, in equal parts. With many
 VMs such a part is less than one request in a window, so each VM gets a token at regular
 times, the first after a random part of the interval. A token that is not used is void
-after a part of the window: otherwise all VMs would hold one after a quiet time and
-spend them in one moment.
+after a part of the window: otherwise all VMs would have one after an idle time and
+spend them at once.
 """
 
 from __future__ import annotations
--- a/packages/cardamomtack/src/cardamomtack/quotas/holders.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/holders.py
@@ -1,10 +1,10 @@
 """Which VM holds the bucket of a workspace.
 
-Every VM works it out from the VMs that it knows. VMs hear of one another at slightly
-different times, and no two of them may admit a whole quota side by side. So a VM that
-gains workspaces, since it has started or since the holders have changed, tells those
-that held them in its former view, and grants nothing until they have confirmed. One of
-them that is gone, or has started anew, needs not confirm.
+Every VM computes it from the members that it knows. VMs learn of a change at slightly
+different times, and two VMs must not both grant a whole quota. So a VM that gains
+workspaces, since it has started or since the holders have changed, claims them from
+the former holders in its view, and grants nothing until they have confirmed. A former
+holder that has left or restarted need not confirm.
 """
 
 from __future__ import annotations
@@ -17,12 +17,12 @@
 
 from cardamomtack.generated.relay import Member
 from cardamomtack.quotas.const import (
-    CEDED_MAX,
+    CLAIMS_MAX,
+    FORMER_SETS_MAX,
+    HANDOVER_S,
     JOIN_WAIT_S,
     JOIN_WAIT_S_MAX,
-    SETS_KEPT,
-    TENURES_KEPT,
-    YIELD_S,
+    TENURES_MAX,
 )
 from cardamomtack.replicas.members import MemberTable
 
@@ -57,7 +57,7 @@
 
 @dataclass(slots=True)
 class FormerSet:
-    """The holders of before a change.
+    """The holders before a change.
 
     Attributes
     ----------
@@ -66,7 +66,7 @@
     changed_at_s, until_s : float
         Monotonic times of the change, and until which they may have granted, in
         seconds.
-    waits_for : dict
+    unconfirmed : dict
         The runs of VMs that have not confirmed the change.
     gone : set of str
         Those of them that are gone, whose workspaces others may have taken over.
@@ -75,14 +75,14 @@
     vm_ids: list[str]
     changed_at_s: float
     until_s: float
-    waits_for: dict[str, Run] = field(default_factory=dict)
+    unconfirmed: dict[str, Run] = field(default_factory=dict)
     gone: set[str] = field(default_factory=set)
 
     def find_unconfirmed(self, name: str) -> str | None:
         """Return a VM that may still grant for a workspace, or None."""
         left = [vm_id for vm_id in self.vm_ids if vm_id not in self.gone]
         vm_id = choose_holder(name, left)
-        return vm_id if vm_id in self.waits_for else None
+        return vm_id if vm_id in self.unconfirmed else None
 
 
 @dataclass(slots=True, frozen=True)
@@ -130,41 +130,41 @@
     Attributes
     ----------
     is_leaving : bool
-        Whether this VM leaves and grants nothing any more.
+        Whether this VM shuts down and grants nothing more.
     """
 
     __slots__ = (
         "_began_at_s",
-        "_ceded",
+        "_claims",
+        "_confirmed_views",
         "_former",
         "_found",
         "_has_begun",
         "_has_joined",
-        "_heard_at_s",
         "_is_settled",
         "_joined_at_s",
         "_members",
+        "_members_changed_at_s",
         "_revision",
         "_runs",
-        "_told",
         "_vm_ids",
         "is_leaving",
     )
 
     def __init__(self, members: MemberTable, has_joined: Callable[[], bool]) -> None:
         self._began_at_s = 0.0
-        self._ceded: dict[str, HolderView] = {}
+        self._claims: dict[str, HolderView] = {}
         self._found: dict[str, Tenure] = {}
         self._former: list[FormerSet] = []
         self._has_begun = False
         self._has_joined = has_joined
-        self._heard_at_s = 0.0
+        self._members_changed_at_s = 0.0
         self._is_settled = False
         self._joined_at_s = 0.0
         self._members = members
         self._revision = -1
         self._runs: dict[str, Member] = {}
-        self._told: dict[str, HolderView] = {}
+        self._confirmed_views: dict[str, HolderView] = {}
         self._vm_ids: list[str] = []
         self.is_leaving = False
 
@@ -185,22 +185,22 @@
             return self._find_other(name)
         found = self._found.get(name)
         if found is None:
-            if len(self._found) >= TENURES_KEPT:
+            if len(self._found) >= TENURES_MAX:
                 self._found.clear()
             found = self._find(name)
             self._found[name] = found
-        if found.began_at_s is None and self._is_yielding(name, found, now_s):
+        if found.began_at_s is None and self._is_handing_over(name, found, now_s):
             return Tenure(self.run[0], self._find_beginning(name, self._former[:-1]))
         return found
 
     def refresh(self, now_s: float) -> None:
-        """Take what is new of the VMs."""
+        """Apply changes of the members."""
         if self._has_begun and self._revision == self._members.revision:
             return
         if not self._has_joined():
             return
         self._revision = self._members.revision
-        self._heard_at_s = now_s
+        self._members_changed_at_s = now_s
         self._found.clear()
         members = self._members.list_members()
         self._runs = {member.vm_id: member for member in members}
@@ -217,15 +217,17 @@
         self._drop_gone(now_s)
 
     def list_claims(self, now_s: float) -> list[Member]:
-        """Return the VMs that are to be told what this one holds."""
+        """Return the VMs from which this one has to claim workspaces."""
         if not self._may_hold(now_s):
             return []
         own = self.view
         vm_ids = {
-            vm_id for vm_id, view in self._told.items() if view.vm_ids != own.vm_ids
+            vm_id
+            for vm_id, view in self._confirmed_views.items()
+            if view.vm_ids != own.vm_ids
         }
         for former in self._former:
-            vm_ids.update(former.waits_for)
+            vm_ids.update(former.unconfirmed)
         return [self._runs[one] for one in sorted(vm_ids) if self.find_member(one)]
 
     @property
@@ -236,69 +238,69 @@
     def record_confirmed(
         self, vm_id: str, others: list[str], view: HolderView, now_s: float
     ) -> None:
-        """Record that a VM has taken what this one has told it.
+        """Record that a VM has confirmed a claim of this one.
 
         Parameters
         ----------
         others : list of str
-            The VMs that have told it that they hold buckets. Until this VM knows them,
-            it can't tell what is theirs.
+            Other VMs that have claimed from it. Until this VM knows them, it can't tell
+            which workspaces are theirs.
         view : HolderView
-            What it was told.
+            The holders that the claim named.
         """
         run = self._find_run(vm_id)
         if run is None or any(other not in self._runs for other in others):
             return
         self._found.clear()
-        self._told[vm_id] = HolderView(run[1], view.vm_ids)
+        self._confirmed_views[vm_id] = HolderView(run[1], view.vm_ids)
         if view != self.view:
             return
         for former in self._former:
-            if former.waits_for.pop(vm_id, None) is not None:
+            if former.unconfirmed.pop(vm_id, None) is not None:
                 former.until_s = now_s
 
     def record_claim(self, vm_id: str, view: HolderView) -> list[str]:
-        """Record what another VM holds, which is no longer granted here.
+        """Record the claim of another VM, after which this one no longer grants.
 
         Returns
         -------
         list of str
-            The VMs besides it that have told this one that they hold buckets.
+            The other VMs that have claimed from this one.
         """
         self._found.clear()
-        self._ceded.pop(vm_id, None)
+        self._claims.pop(vm_id, None)
         has_left = self._members.has_left(vm_id, view.incarnation)
         if not has_left and vm_id in view.vm_ids and vm_id != self.run[0]:
-            self._ceded[vm_id] = view
-            if len(self._ceded) > CEDED_MAX:
-                del self._ceded[next(iter(self._ceded))]
-        return [other for other in self._ceded if other != vm_id]
+            self._claims[vm_id] = view
+            if len(self._claims) > CLAIMS_MAX:
+                del self._claims[next(iter(self._claims))]
+        return [other for other in self._claims if other != vm_id]
 
     def _may_hold(self, now_s: float) -> bool:
         """Return whether this VM may grant anything.
 
-        After it has joined it waits until it hears of no others for a moment: many may
-        have started at the same time.
+        After it has joined it waits until the members have not changed for a short
+        time, because many VMs may start at once.
         """
         if not self._has_begun or self.is_leaving:
             return False
         if not self._is_settled:
-            quiet_s = now_s - self._heard_at_s
+            quiet_s = now_s - self._members_changed_at_s
             joined_s = now_s - self._joined_at_s
             self._is_settled = quiet_s >= JOIN_WAIT_S or joined_s >= JOIN_WAIT_S_MAX
         return self._is_settled
 
     def _find(self, name: str) -> Tenure:
-        """Return who holds a workspace, apart from what this VM still yields."""
-        for vm_id, view in self._ceded.items():
+        """Return who holds a workspace, apart from handovers under way."""
+        for vm_id, view in self._claims.items():
             if choose_holder(name, view.vm_ids) == vm_id:
                 return Tenure(vm_id)
         holder_id = choose_holder(name, self._vm_ids)
         if holder_id is None or holder_id != self.run[0]:
             return Tenure(holder_id or "")
-        waits_for = _find_unconfirmed(name, self._former)
-        if waits_for is not None:
-            return Tenure(waits_for)
+        unconfirmed = _find_unconfirmed(name, self._former)
+        if unconfirmed is not None:
+            return Tenure(unconfirmed)
         return Tenure(holder_id, self._find_beginning(name, self._former))
 
     def _find_other(self, name: str) -> Tenure:
@@ -311,18 +313,18 @@
         member = self._runs.get(vm_id)
         return (vm_id, member.incarnation) if member is not None else None
 
-    def _is_yielding(self, name: str, found: Tenure, now_s: float) -> bool:
-        """Return whether this VM grants on until the next holder has told it.
+    def _is_handing_over(self, name: str, found: Tenure, now_s: float) -> bool:
+        """Return whether this VM continues to grant until the next holder claims.
 
         The next holder grants nothing before. One that does not know this VM would not
-        tell it, hence the limit.
+        claim from it, hence the time limit.
         """
-        if not self._former or found.holder_id in self._ceded:
+        if not self._former or found.holder_id in self._claims:
             return False
         if not found.holder_id:
             return False
         last = self._former[-1]
-        if now_s - last.changed_at_s > YIELD_S or self.run[0] not in last.vm_ids:
+        if now_s - last.changed_at_s > HANDOVER_S or self.run[0] not in last.vm_ids:
             return False
         if choose_holder(name, last.vm_ids) != self.run[0]:
             return False
@@ -336,7 +338,7 @@
         return self._began_at_s
 
     def _change(self, before: list[str], now_s: float) -> None:
-        """Note that there are other holders than before."""
+        """Record a change of the holders."""
         former = FormerSet(before, now_s, now_s)
         if self.run[0] in self._vm_ids:
             for vm_id in before:
@@ -344,23 +346,23 @@
                 if run is None:
                     former.gone.add(vm_id)
                 elif vm_id != self.run[0]:
-                    former.waits_for[vm_id] = run
+                    former.unconfirmed[vm_id] = run
         self._former.append(former)
-        while len(self._former) > SETS_KEPT:
-            settled = [one for one in self._former if not one.waits_for]
+        while len(self._former) > FORMER_SETS_MAX:
+            settled = [one for one in self._former if not one.unconfirmed]
             dropped = (settled or self._former)[0]
             self._former.remove(dropped)
             self._began_at_s = max(self._began_at_s, dropped.until_s)
 
     def _drop_gone(self, now_s: float) -> None:
-        """Forget the runs of VMs that are gone."""
+        """Drop confirmations and claims of runs that have ended."""
         for former in self._former:
-            for vm_id, run in list(former.waits_for.items()):
+            for vm_id, run in list(former.unconfirmed.items()):
                 if self._find_run(vm_id) != run:
-                    del former.waits_for[vm_id]
+                    del former.unconfirmed[vm_id]
                     former.gone.add(vm_id)
                     former.until_s = now_s
-        for views in (self._ceded, self._told):
+        for views in (self._claims, self._confirmed_views):
             for vm_id, view in list(views.items()):
                 run = (vm_id, view.incarnation)
                 is_other_run = self._find_run(vm_id) not in (None, run)
--- a/packages/cardamomtack/src/cardamomtack/quotas/ledger.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/ledger.py
@@ -38,7 +38,7 @@
         began_at_s: float,
         now_s: float,
     ) -> TokenGrant | None:
-        """Give tokens of a workspace.
+        """Grant tokens of a workspace.
 
         Parameters
         ----------
@@ -63,7 +63,7 @@
             self._buckets[name] = bucket
         else:
             if quota.version > bucket.quota.version:
-                bucket.apply_quota(quota, self.rule.held_free, now_s)
+                bucket.apply_quota(quota, self.rule.waiting_free, now_s)
             bucket.limit_tokens(self.rule.start_tokens, began_at_s, now_s)
         if not bucket.quota.rate_per_s:
             # The quota has ended, and the VM that asks does not know it yet.
@@ -76,16 +76,18 @@
         if bucket is not None:
             bucket.refund(count)
 
-    def hold(self, name: str, holder: object, count: int, now_s: float) -> None:
+    def record_waiting(
+        self, name: str, source: object, count: int, now_s: float
+    ) -> None:
         """Record how many admitted requests of a VM still wait for a server."""
         bucket = self._buckets.get(name)
         if bucket is not None:
-            bucket.hold(holder, count, self.rule.held_free, now_s)
+            bucket.record_waiting(source, count, self.rule.waiting_free, now_s)
 
-    def release(self, holder: object, now_s: float) -> None:
-        """Forget what waits at a VM that is gone."""
+    def remove_source(self, source: object, now_s: float) -> None:
+        """Remove the waiting requests of a VM whose stream has ended."""
         for bucket in self._buckets.values():
-            bucket.hold(holder, 0, self.rule.held_free, now_s)
+            bucket.record_waiting(source, 0, self.rule.waiting_free, now_s)
 
     def apply_configuration(
         self, version: int, workspaces: WorkspaceKeys | None, now_s: float
@@ -96,7 +98,7 @@
         for name, bucket in self._buckets.items():
             if version > bucket.quota.version:
                 quota = self._find_quota(name)
-                bucket.apply_quota(quota, self.rule.held_free, now_s)
+                bucket.apply_quota(quota, self.rule.waiting_free, now_s)
 
     def _find_quota(self, name: str) -> Quota:
         """Return the quota of a workspace in the version that this VM knows."""
--- a/packages/cardamomtack/src/cardamomtack/quotas/rule.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/rule.py
@@ -1,4 +1,4 @@
-"""What a workspace may send, and by how much all VMs together may exceed it."""
+"""The quota of a workspace, and by how much all VMs together may exceed it."""
 
 from __future__ import annotations
 
@@ -6,9 +6,9 @@
 
 from cardamomtack.helpers.decoding import is_number
 from cardamomtack.quotas.const import (
-    HELD_SLACK_SHARE,
     START_SLACK_SHARE,
     VERSION_MAX,
+    WAITING_SLACK_SHARE,
 )
 from cardamomtack.workspaces.policy import Workspace
 
@@ -76,9 +76,9 @@
         return self.slack * START_SLACK_SHARE
 
     @property
-    def held_free(self) -> float:
+    def waiting_free(self) -> float:
         """Return how many admitted requests may wait without using up the burst."""
-        return self.slack * HELD_SLACK_SHARE
+        return self.slack * WAITING_SLACK_SHARE
 
     def compute_excess(self, quota: Quota) -> float:
         """Return how many requests of a window may exceed a quota."""
--- a/packages/cardamomtack/src/cardamomtack/replicas/topic.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/topic.py
@@ -168,7 +168,7 @@
             listener()
 
     def clear_confirmation(self) -> None:
-        """Forget the confirmation, because the process has stood still."""
+        """Forget the confirmation, because the process was suspended."""
         self._confirmed_at_s = -inf
 
     def compute_age_s(self, now_s: float) -> float:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/const.py
@@ -27,12 +27,12 @@
 LIFE_TIMEOUT_S: Final = 0.25
 MAINTENANCE_S: Final = 0.5
 QUOTA_RETURN_OBJECTIVE_SHARE: Final = 0.25
-"""Part of the time until the objective after which a token may still be kept.
+"""Longest retry time with a reserved token, as a part of the time to the objective.
 
-A token that is kept for longer gives a late answer to one caller, and is missed by
-another that could be in time.
+A token that is reserved for longer gives a late answer to one caller, and is missing
+for another that could be in time.
 """
 
-STOOD_RETRY_AFTER_S: Final = 0.05
+SUSPENDED_RETRY_AFTER_S: Final = 0.05
 SUSPECT_RETRY_AFTER_S: Final = 60.0
 UNCONFIGURED_RETRY_AFTER_S: Final = 0.3
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -512,7 +512,7 @@
                 self._pool.close_connections(server.vm_id)
 
     def _wake(self) -> None:
-        """Trust nothing from before the process stood still."""
+        """Close connections and read topics anew after the process was suspended."""
         self._pool.close_all()
         for reader in self._readers:
             reader.refresh()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -28,8 +28,8 @@
 from cardamomtack_daemon.forwarding.const import (
     FINISH_FACTOR,
     QUOTA_RETURN_OBJECTIVE_SHARE,
-    STOOD_RETRY_AFTER_S,
     SUSPECT_RETRY_AFTER_S,
+    SUSPENDED_RETRY_AFTER_S,
     UNCONFIGURED_RETRY_AFTER_S,
 )
 from cardamomtack_daemon.forwarding.decisions import DecisionRecorder
@@ -251,8 +251,8 @@
                 return self._finish(call, result, reason, had_capacity)
             if call.quota is not None and not self._quotas.record_sent(call.quota):
                 self._sender.release_unused(probed)
-                reason = "this VM has stood still"
-                return (build_refusal(reason, STOOD_RETRY_AFTER_S), None), reason
+                reason = "this VM was suspended"
+                return (build_refusal(reason, SUSPENDED_RETRY_AFTER_S), None), reason
             result = _keep_worse(result, await self._hedged.async_send(call, probed))
             had_capacity = not is_near_capacity(probed.server)
             if not self._may_send_again(call, result):
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/settings.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/settings.py
@@ -31,7 +31,7 @@
     tunnel_port : int
         Port at which servers are reached for other VMs; 0 for none.
     quota_port : int
-        Port at which this VM grants what workspaces may send; 0 for none.
+        Port at which this VM grants tokens of quotas; 0 for none.
     quota_window_s, quota_over_share, quota_slack : float
         In no window of so many seconds do all VMs together send more requests of a
         workspace than its quota, that share of it and the slack; all 0 when nothing
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/suspension.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/suspension.py
@@ -1,4 +1,4 @@
-"""Notices that the process or its VM has stood still."""
+"""Detects that the process or its VM was suspended."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 async def async_watch_clock(clock: Clock, wake: Callable[[], None]) -> None:
-    """Call a function after each time that the process has stood still.
+    """Call a function each time after the process was suspended.
 
     The steady clock does not count the time of a suspended VM; the time since the
     start of the VM does.
@@ -21,8 +21,10 @@
     while True:
         await sleep(CLOCK_CHECK_S)
         now_s = clock.read_boot_s()
-        stood_s = now_s - known_s - CLOCK_CHECK_S
+        suspended_s = now_s - known_s - CLOCK_CHECK_S
         known_s = now_s
-        if stood_s > CLOCK_JUMP_S:
-            logger.bind(seconds=round(stood_s, 2)).warning("the process stood still")
+        if suspended_s > CLOCK_JUMP_S:
+            logger.bind(seconds=round(suspended_s, 2)).warning(
+                "the process was suspended"
+            )
             wake()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/checks.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/checks.py
@@ -31,7 +31,7 @@
     is_sound = len(ask.wants) <= WANTS_MAX and len(ask.reports) <= WANTS_MAX
     is_sound = is_sound and all(_is_want_sound(want) for want in ask.wants)
     if not is_sound or not all(_is_report_sound(report) for report in ask.reports):
-        raise PeerProtocolError("odd request for tokens")
+        raise PeerProtocolError("invalid request for tokens")
 
 
 def check_answer(answer: TokenAnswer, counts: list[int]) -> None:
@@ -48,9 +48,9 @@
         if grant.holder_id is None and len(grant.retries_ms) != count:
             raise PeerProtocolError("answer to other requests of a workspace")
         if not all(is_count(retry_ms) for retry_ms in grant.retries_ms):
-            raise PeerProtocolError("odd time to come back")
+            raise PeerProtocolError("invalid retry time")
         if not 0 <= grant.spare <= COUNT_MAX:
-            raise PeerProtocolError("odd number of tokens")
+            raise PeerProtocolError("invalid number of tokens")
 
 
 def check_claim(claim: HolderClaim) -> None:
@@ -62,9 +62,9 @@
         When it names no VM.
     """
     if not is_token(claim.vm_id) or not is_token(claim.incarnation):
-        raise PeerProtocolError("odd name of a VM")
+        raise PeerProtocolError("invalid name of a VM")
     if len(claim.holder_ids) > HOLDERS_MAX or not all(map(is_token, claim.holder_ids)):
-        raise PeerProtocolError("odd holders")
+        raise PeerProtocolError("invalid list of holders")
 
 
 def _is_name_sound(name: str) -> bool:
@@ -91,5 +91,5 @@
     return (
         _is_name_sound(report.name)
         and 0 <= report.unused <= COUNT_MAX
-        and -1 <= report.held <= COUNT_MAX
+        and -1 <= report.waiting <= COUNT_MAX
     )
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/claims.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/claims.py
@@ -1,4 +1,4 @@
-"""Tells the former holders of workspaces that this VM holds them."""
+"""Claims workspaces from their former holders."""
 
 from __future__ import annotations
 
@@ -52,19 +52,19 @@
             async with create_task_group() as tasks:
                 for member in claims:
                     if self._is_due(member.vm_id, now_s):
-                        tasks.start_soon(self._async_tell, member)
+                        tasks.start_soon(self._async_claim_from, member)
             await sleep(CLAIM_CHECK_S)
 
     def _is_due(self, vm_id: str, now_s: float) -> bool:
-        """Return whether a VM is told now; one that is silent is told less often."""
+        """Return whether a VM is tried now; pauses grow while it does not answer."""
         due_at_s, pause_s = self._pauses.get(vm_id, (now_s, CLAIM_CHECK_S))
         if now_s < due_at_s:
             return False
         self._pauses[vm_id] = now_s + pause_s, min(BACKOFF_S_MAX, 2.0 * pause_s)
         return True
 
-    async def _async_tell(self, member: Member) -> None:
-        """Tell one VM what this one holds, and take its confirmation."""
+    async def _async_claim_from(self, member: Member) -> None:
+        """Claim from one VM, and record its confirmation."""
         view = self._holders.view
         claim = HolderClaim(*self._holders.run, list(view.vm_ids))
         try:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/const.py
@@ -18,7 +18,7 @@
 
 DIAL_TIMEOUT_S: Final = 0.5
 FALLBACK_RETRY_S: Final = 1.0
-"""Longest time after which a caller comes back that no holder has decided about."""
+"""Longest retry time that the fallback gives a caller."""
 
 FRAME_BYTES_MAX: Final = 1_048_576
 HOLDERS_MAX: Final = 256
@@ -44,7 +44,8 @@
 
 STREAM_IDLE_S: Final = 120.0
 UNDECIDED_S: Final = 0.25
-"""For how long no request waits for a workspace on whose holder VMs disagree."""
+"""For how long requests of a workspace go to the fallback without waiting, after VMs
+have disagreed on its holder."""
 
 WANTS_MAX: Final = 2000
 """Workspaces in one message."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/gate.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/gate.py
@@ -50,15 +50,15 @@
     workspace : str
         The workspace.
     holder_id : str
-        The VM that has decided; empty when this VM did without a holder.
+        The holder that has decided; empty for the fallback.
     asked_at_s, decided_at_s : float
         Times since the start of the VM of the question and of the decision, in seconds.
     is_settled : bool
         Whether the request was sent, or will not be sent.
-    is_held : bool
-        Whether the holder is told that it still waits for a server.
+    is_reported : bool
+        Whether it is reported to the holder as waiting for a server.
     is_void : bool
-        Whether it may not be sent any more, since the VM has stood still meanwhile.
+        Whether it may not be sent any more, because the VM was suspended.
     """
 
     is_admitted: bool
@@ -69,7 +69,7 @@
     retry_after_s: float = 0.0
     reason: str = ""
     is_settled: bool = False
-    is_held: bool = False
+    is_reported: bool = False
     is_void: bool = False
 
     @property
@@ -84,8 +84,8 @@
 
     admitted_by_holder: int = 0
     refused_by_holder: int = 0
-    admitted_alone: int = 0
-    refused_alone: int = 0
+    admitted_by_fallback: int = 0
+    refused_by_fallback: int = 0
 
     def record(self, decision: QuotaDecision) -> None:
         """Count a decision."""
@@ -94,9 +94,9 @@
         elif decision.holder_id:
             self.refused_by_holder += 1
         elif decision.is_admitted:
-            self.admitted_alone += 1
+            self.admitted_by_fallback += 1
         else:
-            self.refused_alone += 1
+            self.refused_by_fallback += 1
 
 
 LinkOpener = Callable[[Member], HolderLink | None]
@@ -136,7 +136,7 @@
         "_fallback",
         "_holders",
         "_ledger",
-        "_local_held",
+        "_local_waiting",
         "_open_link",
         "_random",
         "_read_version",
@@ -160,7 +160,7 @@
         self._fallback = fallback
         self._holders = holders
         self._ledger = ledger
-        self._local_held: dict[str, int] = {}
+        self._local_waiting: dict[str, int] = {}
         self._open_link = open_link
         self._random = random
         self._read_version = read_version
@@ -191,7 +191,7 @@
         elif not self._is_undecided(name):
             decision = await self._async_decide(name, quota, demand, asked_at_s)
         if decision is None:
-            decision = self._decide_alone(name, quota, asked_at_s)
+            decision = self._decide_by_fallback(name, quota, asked_at_s)
         self.counts.record(decision)
         return decision
 
@@ -205,7 +205,7 @@
         """
         if decision.is_settled:
             return True
-        if self._has_stood_still(decision):
+        if self._was_suspended(decision):
             return False
         decision.is_settled = True
         self._release(decision)
@@ -216,9 +216,11 @@
         if decision.is_settled or not decision.is_admitted:
             return
         decision.is_settled = True
-        is_held = decision.is_held
+        is_reported = decision.is_reported
         self._release(decision)
-        if not decision.holder_id or (not is_held and self._has_stood_still(decision)):
+        if not decision.holder_id or (
+            not is_reported and self._was_suspended(decision)
+        ):
             return
         if decision.holder_id == self._holders.run[0]:
             self._ledger.refund(decision.workspace, 1)
@@ -285,7 +287,7 @@
         asked_at_s = link.take_spare(name)
         if asked_at_s is not None:
             return TokenResult(asked_at_s, is_granted=True)
-        if link.is_doubtful or link.is_ended:
+        if link.is_suspect or link.is_ended:
             return None
         waiter = link.ask(name, quota, demand.keys[0], demand.left_s)
         if waiter is None:
@@ -297,7 +299,7 @@
                 age_s = self._clock.read_boot_s() - result.asked_at_s
             # Without the time that the VM was suspended the token would look valid.
             return result if age_s <= TOKEN_VALID_S else None
-        link.doubt()
+        link.mark_suspect()
         return None
 
     def _conclude(
@@ -331,10 +333,10 @@
         result = TokenResult(self._clock.read_boot_s(), not retry_s, retry_s)
         return self._conclude(name, tenure.holder_id, result)
 
-    def _decide_alone(
+    def _decide_by_fallback(
         self, name: str, quota: Quota, asked_at_s: float
     ) -> QuotaDecision:
-        """Decide without a holder."""
+        """Decide by this VM's part of what may exceed the quota."""
         now_s = self._clock.read_monotonic_s()
         wait_s = self._fallback.admit(name, quota, self._count_vms(), now_s)
         decision = QuotaDecision(
@@ -353,7 +355,7 @@
         return until_s is not None and self._clock.read_boot_s() < until_s
 
     def _note_undecided(self, name: str, asked_at_s: float) -> None:
-        """Let other requests not wait once one has waited for long."""
+        """Send requests to the fallback at once after one has waited for long."""
         now_s = self._clock.read_boot_s()
         if now_s - asked_at_s < ASK_TIMEOUT_S - 2.0 * REFER_PAUSE_S:
             return
@@ -362,43 +364,43 @@
         self._undecided_until_s[name] = now_s + UNDECIDED_S
 
     def _watch(self, decision: QuotaDecision) -> None:
-        """Tell the holder when the request still waits for a server after a while."""
+        """Schedule the report of a request that still waits for a server."""
         # A spare token may be almost void when a request uses it.
         delay_s = max(0.0, TOKEN_VALID_S - decision.age_s)
-        get_running_loop().call_later(delay_s, self._hold, decision)
+        get_running_loop().call_later(delay_s, self._report_waiting, decision)
 
-    def _hold(self, decision: QuotaDecision) -> None:
-        """Tell the holder that a request still waits for a server."""
-        if not decision.is_settled and not self._has_stood_still(decision):
-            decision.is_held = True
-            self._change_held(decision, 1)
+    def _report_waiting(self, decision: QuotaDecision) -> None:
+        """Report to the holder that a request still waits for a server."""
+        if not decision.is_settled and not self._was_suspended(decision):
+            decision.is_reported = True
+            self._change_waiting(decision, 1)
 
-    def _has_stood_still(self, decision: QuotaDecision) -> bool:
-        """Return whether the VM could not tell the holder of a request in time.
+    def _was_suspended(self, decision: QuotaDecision) -> bool:
+        """Return whether the VM could not report a request in time.
 
         Others may have got the tokens that have been added since.
         """
-        if decision.holder_id and not decision.is_held:
+        if decision.holder_id and not decision.is_reported:
             age_s = self._clock.read_boot_s() - decision.asked_at_s
             decision.is_void = decision.is_void or age_s > 2.0 * TOKEN_VALID_S
         return decision.is_void
 
     def _release(self, decision: QuotaDecision) -> None:
-        """Tell the holder that a request no longer waits for a server."""
-        if decision.is_held:
-            decision.is_held = False
-            self._change_held(decision, -1)
+        """Report to the holder that a request no longer waits for a server."""
+        if decision.is_reported:
+            decision.is_reported = False
+            self._change_waiting(decision, -1)
 
-    def _change_held(self, decision: QuotaDecision, change: int) -> None:
+    def _change_waiting(self, decision: QuotaDecision, change: int) -> None:
         """Change the number of requests that wait for a server."""
         name = decision.workspace
         if decision.holder_id != self._holders.run[0]:
             link = self._find_link(decision.holder_id)
             if link is not None:
-                link.hold(name, change)
+                link.change_waiting(name, change)
             return
-        held = max(0, self._local_held.get(name, 0) + change)
-        self._local_held[name] = held
-        if not held:
-            del self._local_held[name]
-        self._ledger.hold(name, self, held, self._clock.read_monotonic_s())
+        waiting = max(0, self._local_waiting.get(name, 0) + change)
+        self._local_waiting[name] = waiting
+        if not waiting:
+            del self._local_waiting[name]
+        self._ledger.record_waiting(name, self, waiting, self._clock.read_monotonic_s())
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/link.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/link.py
@@ -1,7 +1,7 @@
-"""The stream to one holder: asks it for tokens, and tells it what became of them.
+"""The stream to one holder: requests tokens, and reports unused ones.
 
 Requests of one iteration of the event loop go in one message. While the holder does not
-answer, nobody waits for it; it is tried again in the background.
+answer, no request waits for it; it is tried again in the background.
 """
 
 from __future__ import annotations
@@ -65,8 +65,8 @@
 
     Attributes
     ----------
-    is_doubtful : bool
-        Whether it did not answer in time; nobody waits for it then.
+    is_suspect : bool
+        Whether it did not answer in time; no request waits for it then.
     is_ended : bool
         Whether nothing more may be asked on it.
     """
@@ -74,39 +74,39 @@
     __slots__ = (
         "_changed",
         "_clock",
-        "_doubted",
-        "_held",
-        "_held_changes",
+        "_is_check_due",
         "_meters",
         "_number",
         "_pending",
         "_scope",
         "_sent",
         "_spare",
-        "_trial",
+        "_suspected",
         "_unused",
         "_used_at_s",
-        "is_doubtful",
+        "_waiting",
+        "_waiting_changes",
         "is_ended",
+        "is_suspect",
         "member",
     )
 
     def __init__(self, member: Member, clock: Clock) -> None:
         self._changed = Event()
         self._clock = clock
-        self._doubted = Event()
-        self._held: dict[str, int] = {}
-        self._held_changes: set[str] = set()
+        self._suspected = Event()
+        self._waiting: dict[str, int] = {}
+        self._waiting_changes: set[str] = set()
         self._meters: OrderedDict[str, DemandMeter] = OrderedDict()
         self._number = 0
         self._pending: dict[str, PendingWant] = {}
         self._scope = CancelScope()
         self._sent: dict[int, list[PendingWant]] = {}
         self._spare = SpareTokens(clock)
-        self._trial = False
+        self._is_check_due = False
         self._unused: dict[str, int] = {}
         self._used_at_s = clock.read_monotonic_s()
-        self.is_doubtful = False
+        self.is_suspect = False
         self.is_ended = False
         self.member = member
 
@@ -150,22 +150,24 @@
             self._unused[name] = min(COUNT_MAX, known + count)
             self._changed.set()
 
-    def hold(self, name: str, change: int) -> None:
+    def change_waiting(self, name: str, change: int) -> None:
         """Change the number of admitted requests that still wait for a server."""
-        held = max(0, self._held.get(name, 0) + change)
-        if held:
-            self._held[name] = held
+        waiting = max(0, self._waiting.get(name, 0) + change)
+        if waiting:
+            self._waiting[name] = waiting
         else:
-            self._held.pop(name, None)
-        self._held_changes.add(name)
+            self._waiting.pop(name, None)
+        self._waiting_changes.add(name)
         self._changed.set()
 
-    def doubt(self) -> None:
-        """Note that the holder did not answer in time."""
-        if not self.is_doubtful:
-            logger.bind(holder=self.member.vm_id).info("holder of quotas is silent")
-        self.is_doubtful = True
-        self._doubted.set()
+    def mark_suspect(self) -> None:
+        """Record that the holder did not answer in time."""
+        if not self.is_suspect:
+            logger.bind(holder=self.member.vm_id).info(
+                "holder of quotas does not answer"
+            )
+        self.is_suspect = True
+        self._suspected.set()
 
     def end(self) -> None:
         """End the link."""
@@ -173,7 +175,7 @@
         self._scope.cancel()
 
     async def async_run(self) -> None:
-        """Connect while it is used, again and again."""
+        """Keep a connection while it is used."""
         backoff_s = BACKOFF_S_MIN
         try:
             with self._scope:
@@ -181,7 +183,7 @@
                     if await self._async_connect():
                         backoff_s = BACKOFF_S_MIN
                     self._fail_all()
-                    if not self.is_doubtful:
+                    if not self.is_suspect:
                         continue
                     await sleep(backoff_s)
                     backoff_s = min(BACKOFF_S_MAX, 2.0 * backoff_s)
@@ -194,7 +196,7 @@
         return self._clock.read_monotonic_s() - self._used_at_s < LINK_IDLE_S
 
     def _fail_all(self) -> None:
-        """Tell all requests that nothing was decided."""
+        """Leave all waiting requests without a decision."""
         wants = [*self._pending.values()]
         wants += [want for sent in self._sent.values() for want in sent]
         self._pending.clear()
@@ -215,15 +217,15 @@
                 "holder of quotas can't be reached"
             )
         if stream is None:
-            self.doubt()
+            self.mark_suspect()
             return False
-        self._held_changes.update(self._held)
+        self._waiting_changes.update(self._waiting)
         number = self._number
         messages = MessageStream(stream, QuotaMessage, FRAME_BYTES_MAX)
         try:
             async with stream, create_task_group() as tasks:
-                # A holder that was silent is asked whether it answers.
-                self._trial = self.is_doubtful
+                # An empty request checks whether a suspect holder answers again.
+                self._is_check_due = self.is_suspect
                 self._changed.set()
                 tasks.start_soon(self._async_write, messages)
                 tasks.start_soon(self._async_watch)
@@ -235,8 +237,8 @@
             logger.bind(holder=member.vm_id, error=error_text).info(
                 "stream to holder of quotas ended"
             )
-            self.doubt()
-        return self._number > number and not self.is_doubtful
+            self.mark_suspect()
+        return self._number > number and not self.is_suspect
 
     async def _async_read(self, messages: MessageStream[QuotaMessage]) -> None:
         """Take answers while the link is used."""
@@ -248,7 +250,7 @@
                 self._take_answer(message.answer)
 
     def _take_answer(self, answer: TokenAnswer) -> None:
-        """Hand out what was granted.
+        """Pass what was granted to the waiting requests.
 
         Raises
         ------
@@ -259,14 +261,14 @@
         if wants is None:
             raise PeerProtocolError("answer to no request")
         check_answer(answer, [len(want.waiters) for want in wants])
-        self.is_doubtful = False
+        self.is_suspect = False
         for want, grant in zip(wants, answer.grants, strict=True):
             left = want.resolve(grant)
             if left:
                 self._spare.add(want.name, left, want.asked_at_s)
 
     async def _async_write(self, messages: MessageStream[QuotaMessage]) -> None:
-        """Write what there is to ask and to tell, at most once in an iteration."""
+        """Write requests and reports, in one message for each iteration."""
         while True:
             await self._changed.wait()
             self._changed = Event()
@@ -275,7 +277,7 @@
                 await messages.async_send_frame(encode_frame(QuotaMessage(ask=ask)))
 
     def _compose(self) -> TokenAsk | None:
-        """Return the next message, or None when there is nothing to tell."""
+        """Return the next message, or None when there is nothing to send."""
         wants: list[TokenWant] = []
         sent: list[PendingWant] = []
         for want in self._pending.values():
@@ -284,23 +286,23 @@
                 wants.append(want.write(self._count_spare(want.name)))
                 sent.append(want)
         self._pending.clear()
-        names = [*self._unused, *self._held_changes.difference(self._unused)]
+        names = [*self._unused, *self._waiting_changes.difference(self._unused)]
         reports = [
             TokenReport(
                 name,
                 unused=self._unused.get(name, 0),
-                held=min(COUNT_MAX, self._held.get(name, 0))
-                if name in self._held_changes
+                waiting=min(COUNT_MAX, self._waiting.get(name, 0))
+                if name in self._waiting_changes
                 else -1,
             )
             for name in names[:WANTS_MAX]
         ]
         for report in reports:
             self._unused.pop(report.name, None)
-            self._held_changes.discard(report.name)
-        if not wants and not reports and not self._trial:
+            self._waiting_changes.discard(report.name)
+        if not wants and not reports and not self._is_check_due:
             return None
-        self._trial = False
+        self._is_check_due = False
         self._number += 1
         self._sent[self._number] = sent
         return TokenAsk(self._number, wants, reports)
@@ -314,18 +316,18 @@
         return meter.count_in_advance(self._spare.count(name), now_s)
 
     async def _async_watch(self) -> None:
-        """Close a stream whose holder stays silent.
+        """Close a stream whose holder does not answer.
 
         Raises
         ------
         TimeoutError
-            When it has been silent for too long.
+            When it has not answered for too long.
         """
         while True:
-            await self._doubted.wait()
-            self._doubted = Event()
+            await self._suspected.wait()
+            self._suspected = Event()
             with fail_after(SILENCE_S_MAX):
-                while self.is_doubtful:
+                while self.is_suspect:
                     await sleep(SILENCE_S_MAX / 10.0)
 
     async def _async_collect(self) -> None:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/server.py
@@ -85,7 +85,7 @@
             logger.bind(error=repr(error)).debug("stream of a VM that asks has ended")
         finally:
             self._connections -= 1
-            self._ledger.release(messages, self._clock.read_monotonic_s())
+            self._ledger.remove_source(messages, self._clock.read_monotonic_s())
 
     def _handle(self, message: QuotaMessage, source: object) -> QuotaMessage | None:
         """Return the answer to a message; None for one of another kind.
@@ -102,13 +102,13 @@
         return None
 
     def _answer(self, ask: TokenAsk, source: object) -> TokenAnswer:
-        """Take back what was not used, and grant what there is."""
+        """Apply reports, and grant available tokens."""
         check_ask(ask)
         now_s = self._clock.read_monotonic_s()
         for report in ask.reports:
             self._ledger.refund(report.name, report.unused)
-            if report.held >= 0:
-                self._ledger.hold(report.name, source, report.held, now_s)
+            if report.waiting >= 0:
+                self._ledger.record_waiting(report.name, source, report.waiting, now_s)
         return TokenAnswer(ask.number, [self._grant(want, now_s) for want in ask.wants])
 
     def _grant(self, want: TokenWant, now_s: float) -> GrantedTokens:
@@ -130,7 +130,7 @@
         )
 
     def _confirm(self, claim: HolderClaim) -> ClaimConfirmation:
-        """Leave to a VM what it holds."""
+        """Record the claim of a VM, and confirm it."""
         check_claim(claim)
         view = HolderView(claim.incarnation, tuple(claim.holder_ids))
         others = self._holders.record_claim(claim.vm_id, view)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/service.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/service.py
@@ -115,11 +115,11 @@
         self._ledger.rule = rule
 
     def leave(self) -> None:
-        """Grant nothing any more, and refer the other VMs to the next holders."""
+        """Grant nothing more, and refer the other VMs to the next holders."""
         self._holders.is_leaving = True
 
     async def async_run(self) -> None:
-        """Grant and ask from the first version with workspaces on, until cancelled."""
+        """Run from the first version with workspaces on, until cancelled."""
         await self._needed.wait()
         settings = self._settings
         try:
@@ -147,7 +147,7 @@
         tasks.start_soon(self._claims.async_claim)
 
     async def _async_maintain(self) -> None:
-        """Drop what has grown old, and log how many decisions there were."""
+        """Drop idle buckets and links, and log the counts of decisions."""
         logged = QuotaCounts()
         log_at_s = 0.0
         while True:
@@ -165,7 +165,7 @@
                     link.end()
 
     def _open_link(self, member: Member) -> HolderLink | None:
-        """Return the link to a VM in its run of now."""
+        """Return the link to the current run of a VM."""
         link = self._links.get(member.vm_id)
         if link is not None and not link.is_ended and link.member == member:
             return link
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/wants.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/wants.py
@@ -1,4 +1,4 @@
-"""What a VM wants of a holder, and what it has got but not used."""
+"""Requests for tokens that wait for an answer, and spare tokens."""
 
 from __future__ import annotations
 
@@ -50,7 +50,7 @@
     left_s: float = 0.0
 
     def add(self, key: int, left_s: float) -> Waiter:
-        """Add a request, and return what tells it the result."""
+        """Add a request, and return the future of its result."""
         waiter: Waiter = get_running_loop().create_future()
         self.keys.append(key)
         self.waiters.append(waiter)
@@ -86,7 +86,7 @@
         )
 
     def resolve(self, grant: GrantedTokens) -> int:
-        """Tell the requests what they have got; return how many tokens are left."""
+        """Pass the grant to the requests; return how many tokens are left."""
         asked_at_s = self.asked_at_s
         if grant.holder_id is not None:
             for waiter in self.waiters:
@@ -100,7 +100,7 @@
         return left
 
     def fail(self) -> None:
-        """Tell the requests that nothing was decided."""
+        """Leave the requests without a decision."""
         for waiter in self.waiters:
             _tell(waiter, None)
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/reader.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/reader.py
@@ -137,7 +137,7 @@
             await self._async_back_off(error)
 
     def refresh(self) -> None:
-        """Read anew at once, on a new connection, after the process stood still."""
+        """Read anew at once, on a new connection, after a suspension."""
         self._replica.clear_confirmation()
         self._rest()
         self._wake.set()
--- a/tests/cardamomtack/quotas/test_holders.py
+++ b/tests/cardamomtack/quotas/test_holders.py
@@ -5,7 +5,7 @@
 import unittest
 
 from cardamomtack.generated.relay import Member
-from cardamomtack.quotas.const import JOIN_WAIT_S, YIELD_S
+from cardamomtack.quotas.const import HANDOVER_S, JOIN_WAIT_S
 from cardamomtack.quotas.holders import (
     HolderTable,
     HolderView,
@@ -147,7 +147,7 @@
             name for name in NAMES if choose_holder(name, ["vm-0", "vm-1"]) == "vm-0"
         )
         self.assertEqual(self.count_granting([table], gained, 10.1), 1)
-        self.assertEqual(self.count_granting([table], gained, 10.1 + YIELD_S), 0)
+        self.assertEqual(self.count_granting([table], gained, 10.1 + HANDOVER_S), 0)
 
     def test_two_new_holders_that_do_not_know_each_other(self):
         """Guards against two VMs that take over from the same one."""
--- a/tests/cardamomtack/quotas/test_ledger.py
+++ b/tests/cardamomtack/quotas/test_ledger.py
@@ -83,9 +83,9 @@
     def test_requests_that_wait_for_a_server_leave_no_room_for_others(self):
         """Guards against a queue that empties beside a full burst."""
         self.take(0.0, 100)
-        self.ledger.hold("a", "vm", 16, 0.0)
+        self.ledger.record_waiting("a", "vm", 16, 0.0)
         self.assertEqual(self.take(5.0, 100), 4)
-        self.ledger.release("vm", 5.0)
+        self.ledger.remove_source("vm", 5.0)
         self.assertEqual(self.take(10.0, 100), 10)
 
     def test_tokens_that_come_back_do_not_exceed_the_burst(self):
--- a/tests/cardamomtack/quotas/test_tenure_changes.py
+++ b/tests/cardamomtack/quotas/test_tenure_changes.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from cardamomtack.generated.relay import Member
-from cardamomtack.quotas.const import YIELD_S
+from cardamomtack.quotas.const import HANDOVER_S
 from cardamomtack.quotas.holders import HolderTable
 from cardamomtack.replicas.members import MemberTable
 
@@ -171,7 +171,7 @@
         for seed in range(6):
             with self.subTest(seed=seed):
                 longest_s, _, _ = self.play(seed, 0.3)
-                self.assertLessEqual(longest_s, YIELD_S + STEP_S)
+                self.assertLessEqual(longest_s, HANDOVER_S + STEP_S)
 
     def test_news_that_take_seconds(self):
         """Guards against two holders while VMs hear late that others come and go.
@@ -182,7 +182,7 @@
         for seed in range(6):
             with self.subTest(seed=seed):
                 longest_s, _, _ = self.play(seed, 3.0, 4.0)
-                self.assertLessEqual(longest_s, YIELD_S + STEP_S)
+                self.assertLessEqual(longest_s, HANDOVER_S + STEP_S)
 
     def test_workspaces_have_a_holder_most_of_the_time(self):
         """Guards against handovers that leave callers to the fallback."""
--- a/tests/cardamomtack_daemon/forwarding/test_quotas.py
+++ b/tests/cardamomtack_daemon/forwarding/test_quotas.py
@@ -177,7 +177,7 @@
             for number, vm in enumerate(others):
                 answer = await async_call(vm, "read", f"s-{number}")
                 self.assertEqual(answer.status, 200)
-                self.assertEqual(vm.daemon._quotas.gate.counts.refused_alone, 0)
+                self.assertEqual(vm.daemon._quotas.gate.counts.refused_by_fallback, 0)
             (next_id,) = {find_holder(vm) for vm in others}
             self.assertNotEqual(next_id, holder_id)
 
--- a/tests/cardamomtack_daemon/quotas/test_failing_holders.py
+++ b/tests/cardamomtack_daemon/quotas/test_failing_holders.py
@@ -1,4 +1,4 @@
-"""Holders that refuse, hang, end or answer oddly, and odd messages to a holder."""
+"""Holders that refuse, hang, end or answer invalidly, and invalid messages."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
     TokenReport,
     TokenWant,
 )
-from cardamomtack.quotas.const import YIELD_S
+from cardamomtack.quotas.const import HANDOVER_S
 from cardamomtack_daemon.peers.stream import MessageStream, encode_frame
 from cardamomtack_daemon.quotas.const import ASK_TIMEOUT_S
 from tests.cardamomtack_daemon.quotas.case import (
@@ -83,7 +83,7 @@
             holder = QuotaVm(0)
             asker.know(holder)
             # The asker has held all by itself before.
-            await anyio.sleep(2.0 * YIELD_S)
+            await anyio.sleep(2.0 * HANDOVER_S)
             scope = anyio.CancelScope()
 
             async def serve() -> None:
@@ -177,7 +177,7 @@
     want(spare=HUGE),
     want(left_ms=-5),
     encode_frame(QuotaMessage(ask=TokenAsk(1, [], [TokenReport("a", unused=HUGE)]))),
-    encode_frame(QuotaMessage(ask=TokenAsk(1, [], [TokenReport("a", held=-7)]))),
+    encode_frame(QuotaMessage(ask=TokenAsk(1, [], [TokenReport("a", waiting=-7)]))),
     encode_frame(QuotaMessage(claim=HolderClaim("vm 9\r\n", "1", ["vm-9"]))),
     encode_frame(QuotaMessage(claim=HolderClaim("vm-9", "1", ["vm-9"] * 1000))),
 ]
