Begin anew where a claim of another VM has ended

A VM that granted again after another one had claimed a workspace counted from its own start if it never had the claimer among its members. Its bucket could be full beside what the claimer had granted. The end of a claim is now the beginning of the new tenure. The leaving of a VM that was never a member also changes the revision, so that its claims are dropped at once and not with the next change.

--- a/packages/cardamomtack/src/cardamomtack/quotas/holders.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/holders.py
@@ -117,6 +117,25 @@
     vm_ids: tuple[str, ...]
 
 
+@dataclass(slots=True, frozen=True)
+class EndedClaim:
+    """A claim of another VM that no longer holds.
+
+    Attributes
+    ----------
+    vm_id : str
+        The VM that claimed.
+    vm_ids : tuple of str
+        The holders that its claim named.
+    ended_at_s : float
+        Monotonic time until which it may have granted, in seconds.
+    """
+
+    vm_id: str
+    vm_ids: tuple[str, ...]
+    ended_at_s: float
+
+
 class HolderTable:
     """Follows which VMs hold buckets.
 
@@ -137,6 +156,7 @@
         "_began_at_s",
         "_claims",
         "_confirmed_views",
+        "_ended_claims",
         "_former",
         "_found",
         "_has_begun",
@@ -154,6 +174,7 @@
     def __init__(self, members: MemberTable, has_joined: Callable[[], bool]) -> None:
         self._began_at_s = 0.0
         self._claims: dict[str, HolderView] = {}
+        self._ended_claims: list[EndedClaim] = []
         self._found: dict[str, Tenure] = {}
         self._former: list[FormerSet] = []
         self._has_begun = False
@@ -259,7 +280,7 @@
             if former.unconfirmed.pop(vm_id, None) is not None:
                 former.until_s = now_s
 
-    def record_claim(self, vm_id: str, view: HolderView) -> list[str]:
+    def record_claim(self, vm_id: str, view: HolderView, now_s: float) -> list[str]:
         """Record the claim of another VM, after which this one no longer grants.
 
         Returns
@@ -268,7 +289,12 @@
             The other VMs that have claimed from this one.
         """
         self._found.clear()
-        self._claims.pop(vm_id, None)
+        known = self._claims.get(vm_id)
+        if known is not None:
+            # In the other cases nothing moves from the claiming VM to this one.
+            if vm_id not in view.vm_ids or self.run[0] not in known.vm_ids:
+                self._record_ended_claim(vm_id, known, now_s)
+            del self._claims[vm_id]
         has_left = self._members.has_left(vm_id, view.incarnation)
         if not has_left and vm_id in view.vm_ids and vm_id != self.run[0]:
             self._claims[vm_id] = view
@@ -332,10 +358,22 @@
 
     def _find_beginning(self, name: str, former_sets: list[FormerSet]) -> float:
         """Return since when this VM holds a workspace, in monotonic seconds."""
+        began_at_s = self._began_at_s
         for former in reversed(former_sets):
             if choose_holder(name, former.vm_ids) != self.run[0]:
-                return max(former.until_s, self._began_at_s)
-        return self._began_at_s
+                began_at_s = max(former.until_s, began_at_s)
+                break
+        for ended in self._ended_claims:
+            if choose_holder(name, ended.vm_ids) == ended.vm_id:
+                began_at_s = max(ended.ended_at_s, began_at_s)
+        return began_at_s
+
+    def _record_ended_claim(self, vm_id: str, view: HolderView, now_s: float) -> None:
+        """Record that another VM no longer holds what it claimed from this one."""
+        self._ended_claims.append(EndedClaim(vm_id, view.vm_ids, now_s))
+        if len(self._ended_claims) > FORMER_SETS_MAX:
+            dropped = self._ended_claims.pop(0)
+            self._began_at_s = max(self._began_at_s, dropped.ended_at_s)
 
     def _change(self, before: list[str], now_s: float) -> None:
         """Record a change of the holders."""
@@ -362,12 +400,19 @@
                     del former.unconfirmed[vm_id]
                     former.gone.add(vm_id)
                     former.until_s = now_s
-        for views in (self._claims, self._confirmed_views):
-            for vm_id, view in list(views.items()):
-                run = (vm_id, view.incarnation)
-                is_other_run = self._find_run(vm_id) not in (None, run)
-                if is_other_run or self._members.has_left(*run):
-                    del views[vm_id]
+        for vm_id, view in list(self._claims.items()):
+            if self._has_ended(vm_id, view):
+                del self._claims[vm_id]
+                self._record_ended_claim(vm_id, view, now_s)
+        for vm_id, view in list(self._confirmed_views.items()):
+            if self._has_ended(vm_id, view):
+                del self._confirmed_views[vm_id]
+
+    def _has_ended(self, vm_id: str, view: HolderView) -> bool:
+        """Return whether the run of a VM with some view is known to have ended."""
+        run = (vm_id, view.incarnation)
+        is_other_run = self._find_run(vm_id) not in (None, run)
+        return is_other_run or self._members.has_left(*run)
 
 
 def _find_unconfirmed(name: str, former_sets: list[FormerSet]) -> str | None:
--- a/packages/cardamomtack/src/cardamomtack/replicas/members.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/members.py
@@ -44,7 +44,7 @@
     Attributes
     ----------
     revision : int
-        Grows with each change of the VMs that are known.
+        Grows with each change of the VMs that are known or have left.
     """
 
     __slots__ = ("_dead_s", "_dead_until_s", "_gone", "_members", "own", "revision")
@@ -81,7 +81,7 @@
             self._gone.add(run)
             if known is not None and known.incarnation == member.incarnation:
                 del self._members[member.vm_id]
-                self.revision += 1
+            self.revision += 1
             return True
         if run in self._gone:
             return False
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/server.py
@@ -132,8 +132,9 @@
     def _confirm(self, claim: HolderClaim) -> ClaimConfirmation:
         """Record the claim of a VM, and confirm it."""
         check_claim(claim)
+        now_s = self._clock.read_monotonic_s()
         view = HolderView(claim.incarnation, tuple(claim.holder_ids))
-        others = self._holders.record_claim(claim.vm_id, view)
+        others = self._holders.record_claim(claim.vm_id, view, now_s)
         return ClaimConfirmation(self._holders.run[0], others)
 
 
--- a/tests/cardamomtack/quotas/test_holders.py
+++ b/tests/cardamomtack/quotas/test_holders.py
@@ -9,6 +9,7 @@
 from cardamomtack.quotas.holders import (
     HolderTable,
     HolderView,
+    Tenure,
     choose_holder,
     choose_holders,
 )
@@ -126,7 +127,7 @@
         old_table, new_table = make_table(old, []), join(new, [old])
         for name in NAMES:
             self.assertEqual(self.count_granting([old_table, new_table], name, 1), 1)
-        others = old_table.record_claim("vm-0", new_table.view)
+        others = old_table.record_claim("vm-0", new_table.view, 1.0)
         self.assertEqual(new_table.list_claims(1.0), [old])
         for name in NAMES:
             self.assertLessEqual(
@@ -155,7 +156,7 @@
         old_table = make_table(old, [])
         tables = [join(first, [old]), join(second, [old])]
         for table in tables:
-            others = old_table.record_claim(table.run[0], table.view)
+            others = old_table.record_claim(table.run[0], table.view, 1.0)
             table.record_confirmed("vm-2", others, table.view, 1.0)
         for name in NAMES:
             self.assertLessEqual(
@@ -169,10 +170,30 @@
         table._members.update_member(leave(vm))
         table.refresh(1.0)
         view = HolderView(vm.incarnation, ("vm-0", "vm-1"))
-        self.assertEqual(table.record_claim(vm.vm_id, view), [])
+        self.assertEqual(table.record_claim(vm.vm_id, view, 1.0), [])
         for name in NAMES:
             self.assertEqual(table.find(name, 2.0).holder_id, "vm-0")
 
+    def test_workspace_of_an_unknown_claimer_comes_back_with_few_tokens(self):
+        """Guards against a bucket that ignores what the claimer has granted.
+
+        The former holder never sees the claimer among its own members.
+        """
+        vm, claimer = make_vm(1), make_vm(0)
+        for ends in ("leaves", "claims less"):
+            with self.subTest(ends):
+                table = make_table(vm, [])
+                view = HolderView(claimer.incarnation, ("vm-0",))
+                table.record_claim("vm-0", view, 5.0)
+                self.assertEqual(table.find("a", 6.0).holder_id, "vm-0")
+                if ends == "leaves":
+                    table._members.update_member(leave(claimer))
+                    table.refresh(9.0)
+                else:
+                    less = HolderView(claimer.incarnation, ("vm-1",))
+                    table.record_claim("vm-0", less, 9.0)
+                self.assertEqual(table.find("a", 10.0), Tenure("vm-1", 9.0))
+
     def test_leaving_holder_is_followed_at_once_with_few_tokens(self):
         vms = [make_vm(number) for number in range(3)]
         table = make_table(vms[1], [vms[0], vms[2]])
--- a/tests/cardamomtack/quotas/test_tenure_changes.py
+++ b/tests/cardamomtack/quotas/test_tenure_changes.py
@@ -109,7 +109,7 @@
             other = running.get(member.vm_id)
             if other is None or {member.vm_id, vm.member.vm_id} & self.cut:
                 continue
-            others = other.holders.record_claim(vm.member.vm_id, view)
+            others = other.holders.record_claim(vm.member.vm_id, view, self.now_s)
             vm.holders.record_confirmed(member.vm_id, others, view, self.now_s)
 
     def list_granting(self, name: str) -> list[str]:
