--- a/packages/cardamomtack/src/cardamomtack/quotas/rule.py
+++ b/packages/cardamomtack/src/cardamomtack/quotas/rule.py
@@ -1,11 +1,15 @@
-"""What a workspace may send, and by how much all VMs together may exceed it."""
+"""The quota of a workspace, and by how much all VMs together may exceed it."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
 from cardamomtack.helpers.decoding import is_number
-from cardamomtack.quotas.const import HELD_SLACK_SHARE, START_SLACK_SHARE
+from cardamomtack.quotas.const import (
+    START_SLACK_SHARE,
+    VERSION_MAX,
+    WAITING_SLACK_SHARE,
+)
 from cardamomtack.workspaces.policy import Workspace
 
 
@@ -30,8 +34,9 @@
     @property
     def is_sound(self) -> bool:
         """Return whether it can be computed with."""
-        numbers = (self.rate_per_s, self.burst, self.version)
-        return all(is_number(number) and number >= 0 for number in numbers)
+        numbers = (self.rate_per_s, self.burst)
+        is_version = 0 <= self.version <= VERSION_MAX
+        return is_version and all(is_number(one) and one >= 0 for one in numbers)
 
     @property
     def capacity(self) -> float:
@@ -71,9 +76,9 @@
         return self.slack * START_SLACK_SHARE
 
     @property
-    def held_free(self) -> float:
+    def waiting_free(self) -> float:
         """Return how many admitted requests may wait without using up the burst."""
-        return self.slack * HELD_SLACK_SHARE
+        return self.slack * WAITING_SLACK_SHARE
 
     def compute_excess(self, quota: Quota) -> float:
         """Return how many requests of a window may exceed a quota."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/server.py
@@ -4,6 +4,7 @@
 
 from math import ceil
 
+from anyio import create_task_group, sleep
 from anyio.abc import Listener, SocketStream
 from loguru import logger
 
@@ -28,6 +29,7 @@
 )
 from cardamomtack_daemon.quotas.checks import check_ask, check_claim
 from cardamomtack_daemon.quotas.const import (
+    ACCEPT_PAUSE_S,
     CONNECTIONS_MAX,
     FRAME_BYTES_MAX,
     RETRY_S_MAX,
@@ -58,8 +60,15 @@
 
     async def async_serve(self, listener: Listener[SocketStream]) -> None:
         """Serve other VMs until cancelled."""
-        async with listener:
-            await listener.serve(self._async_serve_peer)
+        async with listener, create_task_group() as tasks:
+            while True:
+                try:
+                    await listener.serve(self._async_serve_peer, tasks)
+                except* OSError as group:
+                    # Too many open files, for example.
+                    error_text = repr(group.exceptions[0])
+                    logger.bind(error=error_text).warning("can't accept a VM")
+                await sleep(ACCEPT_PAUSE_S)
 
     async def _async_serve_peer(self, stream: SocketStream) -> None:
         """Serve one VM until its stream ends."""
@@ -76,7 +85,7 @@
             logger.bind(error=repr(error)).debug("stream of a VM that asks has ended")
         finally:
             self._connections -= 1
-            self._ledger.release(messages, self._clock.read_monotonic_s())
+            self._ledger.remove_source(messages, self._clock.read_monotonic_s())
 
     def _handle(self, message: QuotaMessage, source: object) -> QuotaMessage | None:
         """Return the answer to a message; None for one of another kind.
@@ -93,13 +102,13 @@
         return None
 
     def _answer(self, ask: TokenAsk, source: object) -> TokenAnswer:
-        """Take back what was not used, and grant what there is."""
+        """Apply reports, and grant available tokens."""
         check_ask(ask)
         now_s = self._clock.read_monotonic_s()
         for report in ask.reports:
             self._ledger.refund(report.name, report.unused)
-            if report.held >= 0:
-                self._ledger.hold(report.name, source, report.held, now_s)
+            if report.waiting >= 0:
+                self._ledger.record_waiting(report.name, source, report.waiting, now_s)
         return TokenAnswer(ask.number, [self._grant(want, now_s) for want in ask.wants])
 
     def _grant(self, want: TokenWant, now_s: float) -> GrantedTokens:
@@ -121,10 +130,11 @@
         )
 
     def _confirm(self, claim: HolderClaim) -> ClaimConfirmation:
-        """Leave to a VM what it holds."""
+        """Record the claim of a VM, and confirm it."""
         check_claim(claim)
+        now_s = self._clock.read_monotonic_s()
         view = HolderView(claim.incarnation, tuple(claim.holder_ids))
-        others = self._holders.record_claim(claim.vm_id, view)
+        others = self._holders.record_claim(claim.vm_id, view, now_s)
         return ClaimConfirmation(self._holders.run[0], others)
 
 
--- a/tests/cardamomtack_daemon/quotas/test_failing_holders.py
+++ b/tests/cardamomtack_daemon/quotas/test_failing_holders.py
@@ -1,9 +1,10 @@
-"""Holders that refuse, hang, end or answer oddly, and odd messages to a holder."""
+"""Holders that refuse, hang, end or answer invalidly, and invalid messages."""
 
 from __future__ import annotations
 
 import time
 import unittest
+from errno import EMFILE
 
 import anyio
 from msgspec import msgpack
@@ -17,7 +18,7 @@
     TokenReport,
     TokenWant,
 )
-from cardamomtack.quotas.const import YIELD_S
+from cardamomtack.quotas.const import HANDOVER_S
 from cardamomtack_daemon.peers.stream import MessageStream, encode_frame
 from cardamomtack_daemon.quotas.const import ASK_TIMEOUT_S
 from tests.cardamomtack_daemon.quotas.case import (
@@ -82,7 +83,7 @@
             holder = QuotaVm(0)
             asker.know(holder)
             # The asker has held all by itself before.
-            await anyio.sleep(2.0 * YIELD_S)
+            await anyio.sleep(2.0 * HANDOVER_S)
             scope = anyio.CancelScope()
 
             async def serve() -> None:
@@ -176,12 +177,25 @@
     want(spare=HUGE),
     want(left_ms=-5),
     encode_frame(QuotaMessage(ask=TokenAsk(1, [], [TokenReport("a", unused=HUGE)]))),
-    encode_frame(QuotaMessage(ask=TokenAsk(1, [], [TokenReport("a", held=-7)]))),
+    encode_frame(QuotaMessage(ask=TokenAsk(1, [], [TokenReport("a", waiting=-7)]))),
     encode_frame(QuotaMessage(claim=HolderClaim("vm 9\r\n", "1", ["vm-9"]))),
     encode_frame(QuotaMessage(claim=HolderClaim("vm-9", "1", ["vm-9"] * 1000))),
 ]
 
 
+class FailingListener:
+    """Accepts nothing, as a process without free descriptors."""
+
+    async def serve(self, handler, task_group=None):
+        raise OSError(EMFILE, "Too many open files")
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *error):
+        return None
+
+
 class OddMessageTest(QuotaCase):
     """One VM that grants, and must grant on."""
 
@@ -204,6 +218,29 @@
 
         self.play(scenario, numbers=(0,))
 
+    def test_longest_version_of_a_configuration_is_answered(self):
+        """Guards against VMs that refuse each other's messages as of some version."""
+
+        async def scenario(tasks, holder):
+            port = holder.settings.quota_port
+            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                messages = MessageStream(stream, QuotaMessage)
+                await stream.send(want(version=16**15 - 1))
+                message = await messages.async_receive(1.0)
+                self.assertEqual(len(message.answer.grants), 1)
+
+        self.play(scenario, numbers=(0,))
+
+    def test_connection_that_can_not_be_accepted_ends_no_service(self):
+        """Guards against a VM that ends because it has no free descriptor."""
+
+        async def scenario(tasks, holder):
+            with anyio.move_on_after(0.3) as scope:
+                await holder.service._server.async_serve(FailingListener())
+            self.assertTrue(scope.cancelled_caught)
+
+        self.play(scenario, numbers=(0,))
+
     def test_message_of_an_unknown_kind_is_passed_over(self):
         async def scenario(tasks, holder):
             port = holder.settings.quota_port
