Accept connections of other VMs again after one could not be accepted

Cause: an error of accept, as without free descriptors, ended the listener of the relay, of tunnels or of the streams between peers, with its task group the whole process.

Change: one function serves all four; it logs the error and accepts again after 0.1 s, and open streams stay.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/exchange.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/peers/exchange.py
@@ -21,6 +21,7 @@
 
 from cardamomtack.generated.peer import Heartbeat, Hello, PeerMessage
 from cardamomtack.generated.services import VirtualMachine
+from cardamomtack_daemon.peers.accepting import async_accept
 from cardamomtack_daemon.peers.const import (
     DIAL_PAUSE_S,
     DIAL_TIMEOUT_S,
@@ -142,7 +143,7 @@
         async with create_task_group() as tasks:
             self._tasks = tasks
             self.apply_vm_list(list(self._wanted.values()))
-            await listener.serve(self._async_run_stream)
+            await async_accept(listener, self._async_run_stream)
 
     async def _async_keep_link(self, vm_id: str) -> None:
         """Dial a peer again and again while the VM list names it."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/const.py
@@ -2,7 +2,6 @@
 
 from typing import Final
 
-ACCEPT_PAUSE_S: Final = 0.1
 ASK_TIMEOUT_S: Final = 0.1
 """For how long a request waits for the holder."""
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/quotas/server.py
@@ -4,7 +4,6 @@
 
 from math import ceil
 
-from anyio import create_task_group, sleep
 from anyio.abc import Listener, SocketStream
 from loguru import logger
 
@@ -22,6 +21,7 @@
 from cardamomtack.quotas.holders import HolderTable, HolderView
 from cardamomtack.quotas.ledger import QuotaLedger
 from cardamomtack.quotas.rule import Quota
+from cardamomtack_daemon.peers.accepting import async_accept
 from cardamomtack_daemon.peers.stream import (
     STREAM_ERRORS,
     MessageStream,
@@ -29,7 +29,6 @@
 )
 from cardamomtack_daemon.quotas.checks import check_ask, check_claim
 from cardamomtack_daemon.quotas.const import (
-    ACCEPT_PAUSE_S,
     CONNECTIONS_MAX,
     FRAME_BYTES_MAX,
     RETRY_S_MAX,
@@ -60,15 +59,7 @@
 
     async def async_serve(self, listener: Listener[SocketStream]) -> None:
         """Serve other VMs until cancelled."""
-        async with listener, create_task_group() as tasks:
-            while True:
-                try:
-                    await listener.serve(self._async_serve_peer, tasks)
-                except* OSError as group:
-                    # Too many open files, for example.
-                    error_text = repr(group.exceptions[0])
-                    logger.bind(error=error_text).warning("can't accept a VM")
-                await sleep(ACCEPT_PAUSE_S)
+        await async_accept(listener, self._async_serve_peer)
 
     async def _async_serve_peer(self, stream: SocketStream) -> None:
         """Serve one VM until its stream ends."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/replicas/relay.py
@@ -37,6 +37,7 @@
 from cardamomtack.replicas.peer_clock import PeerClock
 from cardamomtack.replicas.replica_set import ReplicaSet
 from cardamomtack.replicas.topic import TopicGapError, TopicReplica
+from cardamomtack_daemon.peers.accepting import async_accept
 from cardamomtack_daemon.peers.stream import (
     STREAM_ERRORS,
     MessageStream,
@@ -218,10 +219,10 @@
     ) -> None:
         """Serve subscribers until cancelled; started once it listens."""
         listener = await create_tcp_listener(local_host=address, local_port=port)
-        async with listener, create_task_group() as tasks:
+        async with create_task_group() as tasks:
             task_status.started()
             tasks.start_soon(self._async_tell_freshness)
-            await listener.serve(self._async_serve_subscriber)
+            await async_accept(listener, self._async_serve_subscriber)
 
     async def async_subscribe(self) -> None:
         """Hear from an upstream VM until cancelled, from another when it is silent."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
@@ -25,6 +25,7 @@
 from cardamomtack.placing.server import ServerView
 from cardamomtack.reach.ways import DirectWays
 from cardamomtack_daemon.http1.hangups import HangupWatcher
+from cardamomtack_daemon.peers.accepting import async_accept
 from cardamomtack_daemon.peers.stream import (
     STREAM_ERRORS,
     MessageStream,
@@ -163,10 +164,10 @@
     ) -> None:
         """Serve other VMs until cancelled; started once it listens."""
         listener = await create_tcp_listener(local_host=address, local_port=port)
-        async with listener, create_task_group() as tasks:
+        async with create_task_group() as tasks:
             tasks.start_soon(self._hangups.async_watch)
             task_status.started()
-            await listener.serve(self._async_serve_peer)
+            await async_accept(listener, self._async_serve_peer)
 
     async def async_leave(self) -> None:
         """Have the other VMs begin nothing new on their connections."""
