Take an evacuation that is written again at the offset of a dropped one

Cause: after the store had come back from a copy, a record was taken for one that had been dropped if it had the same offset. An operator who evacuates a zone again writes it at that offset when the copy ends there, and VMs that had known the first record passed it over: they went on sending to the zone until the next change of the key.

Change: a record at or beyond the end of the first records of a history is in no copy, so it is new. Where the first records that a VM reads hold it already, it can't tell, as before.

--- a/packages/cardamomtack/src/cardamomtack/replicas/topic.py
+++ b/packages/cardamomtack/src/cardamomtack/replicas/topic.py
@@ -86,6 +86,7 @@
         "_confirmation_listeners",
         "_confirmed_at_s",
         "_confirmed_by",
+        "_copy_end_max",
         "_dropped",
         "_history_listeners",
         "_listeners",
@@ -106,6 +107,8 @@
         self._confirmation_listeners: list[Callable[[], None]] = []
         self._confirmed_at_s = -inf
         self._confirmed_by = SOURCE_STORE
+        # Records of this history from this offset on are in no copy of an earlier one.
+        self._copy_end_max = END_UNKNOWN
         self._dropped: OrderedDict[str, TopicRecord] = OrderedDict()
         self._history_listeners: list[Callable[[], None]] = []
         self._listeners: list[ChangeListener] = []
@@ -248,6 +251,7 @@
         else:
             changes = self._drop_absent(page)
         if page.history > self.history or is_first:
+            self._copy_end_max = page.end
             self._offsets.changes_from = page.end
         ordered = sorted(page.records, key=lambda record: record.offset)
         changes += [record for record in ordered if self._keep(record)]
@@ -347,11 +351,14 @@
         """Return whether a record that tells no order is the one that was dropped.
 
         A copy of the store holds it at the offset that it has always had. A record at
-        another offset may be newer, and is taken for it.
+        another offset may be newer, and is taken for it. One that was written after
+        the copy may have the same offset by chance.
         """
         dropped = self._dropped.get(record.key)
         if dropped is None or not self._order.keeps_absent:
             return False
+        if record.offset >= self._copy_end_max:
+            return False
         is_same = bool(record.value) and record.offset == dropped.offset
         return is_same and self._order.read_order(record) is None
 
--- a/tests/cardamomtack/replicas/test_topic.py
+++ b/tests/cardamomtack/replicas/test_topic.py
@@ -269,6 +269,16 @@
         replica.apply_records(again)
         self.assertEqual(read_state(replica), {"a": b"1", "z": b"{}"})
 
+    def test_new_record_at_the_offset_of_a_dropped_one_is_taken_for_the_old_one(self):
+        log = write_log([("a", b"1"), ("z", b"{}"), ("z", b"")])
+        replica = TopicReplica("t", DigitOrder(keeps_absent=True))
+        replica.apply_records(take_newest(log, 2))
+        replica.apply_records(take_range(log, 2, 3))
+        self.restore(replica, log, log[:1])
+        again = TopicRecords("t", 1, 2, [TopicRecord(1, "z", b"{}")])
+        replica.apply_records(in_history(2, again))
+        self.assertEqual(read_state(replica), {"a": b"1", "z": b"{}"})
+
     def test_vm_that_starts_after_a_restore_takes_back_what_others_know_as_dropped(
         self,
     ):
