--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/identification.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/identification.py
@@ -1,4 +1,4 @@
-"""Finds the workspaces of requests, and takes their keys from them."""
+"""Finds the workspaces of requests, and removes the keys from them."""
 
 from __future__ import annotations
 
@@ -29,12 +29,13 @@
         Takes the requests that are refused.
     """
 
-    __slots__ = ("_decisions", "_names", "_routes")
+    __slots__ = ("_decisions", "_has_known_workspaces", "_names", "_routes")
 
     def __init__(
         self, names: HeaderNames, routes: PrefixRoutes, decisions: DecisionRecorder
     ) -> None:
         self._decisions = decisions
+        self._has_known_workspaces = False
         self._names = names
         self._routes = routes
 
@@ -43,18 +44,25 @@
     ) -> Workspace | HttpAnswer | None:
         """Return the workspace of a request, or the answer that refuses it.
 
-        The request loses its key and what it says of its workspace, so that no later
-        part can pass them on.
+        The key and the name of a workspace are removed from the request, so that no
+        later part can pass them on.
 
         Returns
         -------
         Workspace or HttpAnswer or None
-            None where there are no workspaces, or a public route wants none.
+            None where there are no workspaces, or on a public route without a known
+            key.
         """
         configuration = self._routes.configuration
-        if configuration is None or configuration.workspaces is None:
+        workspaces = configuration.workspaces if configuration is not None else None
+        if workspaces is None and not self._has_known_workspaces:
             return None
-        found = identify_workspace(configuration.workspaces, self._take_keys(request))
+        self._has_known_workspaces = True
+        values = self._take_keys(request)
+        if workspaces is None:
+            # Callers may go on sending keys after a version without workspaces.
+            return None
+        found = identify_workspace(workspaces, values)
         if not isinstance(found, KeyFault):
             return found
         if route.is_public:
@@ -67,11 +75,11 @@
         return answer
 
     def _take_keys(self, request: HttpRequest) -> list[bytes]:
-        """Return the keys of a request, which it no longer holds afterwards."""
+        """Remove the keys and names of workspaces from a request; return the keys."""
         names = self._names
         keys = [value for name, value in request.headers if name == names.workspace_key]
         taken = (names.workspace, names.workspace_key)
-        # Servers that pass fields on as variables take "_" for "-".
+        # Servers that turn fields into CGI variables can't tell "_" from "-".
         request.headers = [
             one for one in request.headers if one[0].replace(b"_", b"-") not in taken
         ]
@@ -86,6 +94,6 @@
     if fault is KeyFault.AMBIGUOUS:
         return build_refusal(fault.value, UNCONFIGURED_RETRY_AFTER_S)
     answer = build_problem(401, fault.value, OUTCOME_NOT_RUN)
-    # RFC 9110, 15.5.2, wants a challenge.
+    # RFC 9110, 15.5.2, requires a challenge.
     answer.headers.append((b"www-authenticate", CHALLENGE))
     return answer
--- a/tests/cardamomtack_daemon/forwarding/test_workspaces.py
+++ b/tests/cardamomtack_daemon/forwarding/test_workspaces.py
@@ -160,6 +160,18 @@
 
         self.play(scenario)
 
+    def test_key_reaches_a_server_after_a_version_without_workspaces(self):
+        async def scenario(vm, servers):
+            self.assertEqual((await async_call(vm, "read", OWN)).status, 200)
+            self.check_sent(servers, [b"one"], 1)
+            vm.publish(make_keyed(2, None))
+            while vm.daemon._routes.version < 2:
+                await anyio.sleep(0.01)
+            self.assertEqual((await async_call(vm, "read", OWN)).status, 200)
+            self.check_sent(servers, [], 1)
+
+        self.play_keyed(scenario)
+
 
 class NameTest(KeyedCase):
     """What servers get, on every path to them."""
