Read on with a server's connection once its answer has ended

A connection that was paused for a long response stayed paused when the response ended while there was no room for more. It was kept for the next request, whose answer was then taken before anything had arrived: status 0 with no body.

The new test in test_client.py failed with (0, False) in place of (200, True) and passes now; the tests of http1 and test_slow_readers.py ran and passed.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -416,13 +416,14 @@
             self._waiter.set_result(None)
 
     def _resume(self) -> None:
-        """Read on when there is room for more."""
+        """Read on when there is room for more, or nothing of the answer follows."""
         is_over = self._buffered_bytes > self._buffer_bytes_max
         if not self._is_paused or is_over or not self._transport:
             return
         if self._transport.is_closing():
             return
-        if self.memory is None or self.memory.budget.has_room:
+        has_room = self.memory is None or self.memory.budget.has_room
+        if has_room or self._collector.has_ended:
             self._is_paused = False
             self._transport.resume_reading()
 
--- a/tests/cardamomtack_daemon/http1/test_client.py
+++ b/tests/cardamomtack_daemon/http1/test_client.py
@@ -7,8 +7,11 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
+from cardamomtack.helpers.clock import ManualClock
+from cardamomtack.memory.budget import ResponseBudget
 from cardamomtack_daemon.http1.client import BrokenAnswerError, async_connect
 from cardamomtack_daemon.http1.messages import HttpAnswer
+from cardamomtack_daemon.http1.responses import ResponseMemory
 
 BUFFER_BYTES_MAX = 1000
 WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc"
@@ -85,6 +88,40 @@
         self.assertFalse(answer.is_whole)
         self.assertFalse(is_reusable)
 
+    def test_connection_of_a_long_answer_reads_the_next_while_memory_is_short(self):
+        # It stayed paused, and its next answer was taken before it had arrived.
+        body = b"x" * (2 * BUFFER_BYTES_MAX)
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+
+        async def serve(stream: SocketStream) -> None:
+            async with stream:
+                for data in (head + body, WHOLE):
+                    await stream.receive()
+                    await stream.send(data)
+                await anyio.sleep_forever()
+
+        async def run() -> None:
+            clock = ManualClock()
+            memory = ResponseMemory(ResponseBudget(BUFFER_BYTES_MAX, clock), clock)
+            memory.budget.held_bytes = BUFFER_BYTES_MAX
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(SocketAttribute.local_port)
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, serve)
+                connection = await async_connect("127.0.0.1", port, 0.0)
+                connection.memory = memory
+                statuses = []
+                for _ in range(2):
+                    connection.send(b"GET / HTTP/1.1\r\n\r\n", False)
+                    answer = await connection.async_receive(BUFFER_BYTES_MAX)
+                    statuses.append((answer.status, answer.is_whole))
+                connection.abort()
+                tasks.cancel_scope.cancel()
+            self.assertEqual(statuses, [(200, True), (200, True)])
+            self.assertEqual(memory.budget.held_bytes, BUFFER_BYTES_MAX)
+
+        anyio.run(run)
+
 
 if __name__ == "__main__":
     unittest.main()
