Keep the bound of connections beside callers that do not read

A caller that left a little of its responses unread counted as idle. When it was closed for a new connection it kept its descriptor until it read, and nothing counted or ended it. It is now closed at once.

The new test in test_bounds.py failed with 12 connections open of 3 allowed, and passed three times after the change, as did the other tests of the file.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
@@ -171,7 +171,11 @@
             return False
         self.closed_idle += 1
         self._connections.discard(longest)
-        longest.close()
+        if longest.has_unsent:
+            # A caller that does not read would keep its descriptor.
+            longest.abort()
+        else:
+            longest.close()
         return True
 
     def _make_connection(self) -> CallerConnection:
--- a/tests/cardamomtack_daemon/http1/test_bounds.py
+++ b/tests/cardamomtack_daemon/http1/test_bounds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from socket import SO_RCVBUF, SOL_SOCKET, socket
 
 import anyio
 
@@ -12,22 +13,38 @@
 from cardamomtack_daemon.http1.server import CallerServer
 from cardamomtack_standins.fleet import find_free_ports
 
+CLIENTS = 12
 CONNECTIONS_MAX = 3
 LONG_BYTES = 8_000_000
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+SHORT_BYTES = 4_000
 WAIT_S = 10.0
 
 
 class LongHandler:
-    """Answers with a long body, and counts the requests."""
+    """Answers with a long body, or one of another length, and counts the requests."""
 
     def __init__(self):
+        self.body_bytes = LONG_BYTES
         self.requests = 0
 
     async def async_handle(self, request):
         """Return the answer."""
         self.requests += 1
-        return HttpAnswer(200, [], b"x" * LONG_BYTES), None
+        return HttpAnswer(200, [], b"x" * self.body_bytes), None
+
+
+class RecordingServer(CallerServer):
+    """Records the connections that were made, also those that it has dropped."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.made = []
+
+    def add_connection(self, connection):
+        """Record a connection and take it."""
+        self.made.append(connection)
+        super().add_connection(connection)
 
 
 class ConnectionBoundTest(unittest.TestCase):
@@ -39,7 +56,7 @@
         async def run():
             limits = ConnectionLimits(0, CONNECTIONS_MAX, 1.0, True)
             handler = LongHandler()
-            server = CallerServer(handler, limits, SystemClock())
+            server = RecordingServer(handler, limits, SystemClock())
             (port,) = find_free_ports(1)
             async with anyio.create_task_group() as tasks:
                 await tasks.start(server.async_serve, "127.0.0.1", port)
@@ -73,6 +90,30 @@
 
         self.play(scenario)
 
+    def test_callers_with_untaken_responses_do_not_exceed_the_bound(self):
+        # They were closed as idle, but kept their descriptors until they read.
+        async def scenario(server, handler, port):
+            handler.body_bytes = SHORT_BYTES
+            clients = []
+            for _ in range(CLIENTS):
+                client = socket()
+                client.setsockopt(SOL_SOCKET, SO_RCVBUF, SHORT_BYTES)
+                client.connect(("127.0.0.1", port))
+                clients.append(client)
+                with anyio.fail_after(WAIT_S):
+                    while len(server.made) < len(clients):
+                        await anyio.sleep(0.001)
+                    while not server.made[-1].has_unsent:
+                        client.send(REQUEST)
+                        await anyio.sleep(0.001)
+            self.assertGreater(server.closed_idle, 0)
+            open_connections = sum(one.has_unsent for one in server.made)
+            self.assertLessEqual(open_connections, CONNECTIONS_MAX)
+            for client in clients:
+                client.close()
+
+        self.play(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
