Close slow readers only where that makes room

A response that waited for room closed the slowest reader after 1 s even if there was room by then, because little room wakes one response only. A change of no bytes, as at the end of any connection, closed a reader while the share was exceeded. A reader that was closed while it was being sent to was counted again, which closed another one.

The three new tests failed before and pass now; test_slow_readers.py passed.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
@@ -620,7 +620,8 @@
         self.has_answered = True
         self._sent_bytes += len(data)
         self._transport.write(data)
-        if self._can_write is not None:
+        # Writing may have closed this reader as the slowest.
+        if self._can_write is not None and not self._transport.is_closing():
             self._count_unsent()
 
     async def async_drain(self) -> None:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/responses.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/responses.py
@@ -73,7 +73,7 @@
         self.budget.held_bytes += size
         if size < 0:
             self._wake()
-        elif self.budget.is_exceeded:
+        elif size > 0 and self.budget.is_exceeded:
             self._close_slowest()
 
     async def async_wait_for_room(self) -> None:
@@ -85,7 +85,9 @@
                 async with timeout(PATIENCE_S):
                     await waiter
             except TimeoutError:
-                self._close_slowest()
+                # What came free may have woken another response only.
+                if not self.budget.has_room:
+                    self._close_slowest()
             finally:
                 if waiter in self._waiters:
                     self._waiters.remove(waiter)
