Count tunnels that are being opened against their bound

The bound was checked before the connection to the server was opened, and the tunnel was counted afterwards, so those opened at once all passed.

The new test in test_tunnels.py failed with 10 tunnels of 2 allowed and passes now, as do the other tests of the file and test_crashing_requests.py.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/server.py
@@ -126,6 +126,7 @@
 
     __slots__ = (
         "_hangups",
+        "_opening",
         "_registry",
         "_tester",
         "_tunnels",
@@ -142,6 +143,7 @@
         tunnels_max: int,
     ) -> None:
         self._hangups = HangupWatcher()
+        self._opening = 0
         self._registry = registry
         self._tester = tester
         self._tunnels: set[_Tunnel] = set()
@@ -212,20 +214,25 @@
         self, wanted: TunnelOpen
     ) -> tuple[TunnelAnswer, BoundedStream | None]:
         """Return whether a server was reached, and the connection to it."""
-        if self.is_leaving or len(self._tunnels) >= self._tunnels_max:
+        count = len(self._tunnels) + self._opening
+        if self.is_leaving or count >= self._tunnels_max:
             return TunnelAnswer("busy"), None
         server = self._registry.servers.get(wanted.server_id)
         if server is None or not server.is_staying:
             return TunnelAnswer("unknown"), None
         if server.is_evacuated:
-            # Builds of before can't read the newer outcome.
+            # Older builds don't know this outcome.
             is_read = wanted.reads_evacuated
             return TunnelAnswer("evacuated" if is_read else "unknown"), None
         if (server.address, server.port) != (wanted.address, wanted.port):
             return TunnelAnswer("unknown"), None
         if self._ways.is_helped(server):
             return TunnelAnswer("cut"), None
-        return await self._async_connect_to(server)
+        self._opening += 1
+        try:
+            return await self._async_connect_to(server)
+        finally:
+            self._opening -= 1
 
     async def _async_connect_to(
         self, server: ServerView
--- a/tests/cardamomtack_daemon/forwarding/test_tunnels.py
+++ b/tests/cardamomtack_daemon/forwarding/test_tunnels.py
@@ -6,12 +6,15 @@
 import time
 import tracemalloc
 import unittest
+from unittest.mock import patch
 
 import anyio
 from anyio.abc import SocketAttribute
 
 from cardamomtack.generated.tunnel import TunnelMessage, TunnelOpen
 from cardamomtack_daemon.peers.stream import STREAM_ERRORS, encode_frame
+from cardamomtack_daemon.tunnels import server as tunnel_server
+from cardamomtack_daemon.tunnels.stream import async_connect_stream
 from tests.cardamomtack_daemon.forwarding.case import ForwardingCase, async_wait_for
 from tests.cardamomtack_daemon.forwarding.cuts import CutFleet
 from tests.cardamomtack_daemon.forwarding.test_abandoned_uploads import (
@@ -27,6 +30,7 @@
 )
 
 SENT_BYTES = 8_000_000
+TUNNELS_MAX = 2
 
 
 class AbandonedTunnelTest(ForwardingCase):
@@ -87,6 +91,34 @@
         self.assertLess(held, GROWTH_BYTES_MAX)
 
 
+class TunnelBoundTest(ForwardingCase):
+    """The bound of the connections for other VMs."""
+
+    def test_connections_that_are_opened_at_once_do_not_exceed_the_bound(self):
+        async def scenario(vm, servers):
+            vm.daemon._tunnels._tunnels_max = TUNNELS_MAX
+            server = servers[0]
+            streams = []
+
+            async def open_one():
+                streams.append(await async_open(vm, server.server_id, server.port))
+
+            async def connect_slowly(*args):
+                await anyio.sleep(0.1)
+                return await async_connect_stream(*args)
+
+            with patch.object(tunnel_server, "async_connect_stream", connect_slowly):
+                async with anyio.create_task_group() as tasks:
+                    for _ in range(5 * TUNNELS_MAX):
+                        tasks.start_soon(open_one)
+            count = vm.daemon._tunnels.count
+            for stream in streams:
+                await stream.aclose()
+            self.assertEqual(count, TUNNELS_MAX)
+
+        self.play(scenario, servers=1)
+
+
 async def async_open(vm, server_id, port):
     """Return a connection to a server through a VM."""
     stream = await anyio.connect_tcp("127.0.0.1", vm.settings.tunnel_port)
