Take no workspace to be beyond its share after a pause

When no share had notable use, the usual level was 0, and any rest of use was beyond it. The calls of such workspaces were then left out of the urgent demand.

The new test in test_workspace_order.py failed before and passes now, as do the other tests of the file and test_urgent_demand.py.

--- a/packages/cardamomtack/src/cardamomtack/placing/recent_use.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/recent_use.py
@@ -115,7 +115,7 @@
             used = [share for share, use_s in uses.items() if use_s > USE_FORGOTTEN_S]
             weight = sum(self._weights[share] for share in used)
             total_s = sum(uses[share] for share in used)
-            self._usual_level = total_s / weight if used else 0.0
+            self._usual_level = total_s / weight if used else inf
         level = self.compute_level(workspace, now_s)
         return level > BEYOND_SHARE_FACTOR * self._usual_level
 
--- a/tests/cardamomtack/placing/test_workspace_order.py
+++ b/tests/cardamomtack/placing/test_workspace_order.py
@@ -100,6 +100,12 @@
         self.assertTrue(use.is_beyond_share(LARGE, 0.2))
         self.assertFalse(use.is_beyond_share(SMALL, 0.2))
 
+    def test_no_workspace_is_beyond_its_share_after_a_pause(self):
+        use = RecentUse()
+        for workspace in (LARGE, SMALL):
+            use.record(workspace, WORK_S, 0.0)
+        self.assertFalse(use.is_beyond_share(SMALL, 20.0))
+
     def test_use_fades(self):
         self.queue.record_placed(QueuedCall(1, 9.0, 1.0, LARGE), 0.0)
         self.queue.record_placed(QueuedCall(1, 9.0, 0.2, SMALL), 60.0)
