Order waiting calls once for each free slot

The first of the waiting calls was searched again, with the levels of all workspaces, for each call that a server did not fit. The order is the same, because sorting is stable.

--- a/packages/cardamomtack/src/cardamomtack/placing/wait_queue.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/wait_queue.py
@@ -197,28 +197,26 @@
         """
         calls = [one for one in self._calls if one.latest_start_at_s >= now_s]
         is_fair_turn = (self._assigned + 1) % LONGEST_WAITING_EVERY == 0
-        while calls:
-            first = self._find_first(calls, is_fair_turn, now_s)
+        for first in self._order(calls, is_fair_turn, now_s):
             if is_fit(first):
                 self._assigned += 1
                 self._use.record(first.workspace, first.work_s, now_s)
                 if not self._use.is_beyond_share(first.workspace, now_s):
                     self._demand.record_placed(first.priority, now_s)
                 return first
-            calls.remove(first)
         return None
 
-    def _find_first(
+    def _order(
         self, calls: list[QueuedCall], is_fair_turn: bool, now_s: float
-    ) -> QueuedCall:
-        """Return the call that goes first; calls are in the order of their arrival."""
+    ) -> list[QueuedCall]:
+        """Return calls in the order in which they go; they come in that of arrival."""
         levels = {
             find_share(one.workspace): self._use.compute_level(one.workspace, now_s)
             for one in calls
         }
         if is_fair_turn:
-            return min(calls, key=lambda one: levels[find_share(one.workspace)])
-        return min(
+            return sorted(calls, key=lambda one: levels[find_share(one.workspace)])
+        return sorted(
             calls,
             key=lambda one: (
                 one.priority,
