--- a/packages/cardamomtack/src/cardamomtack/memory/budget.py
+++ b/packages/cardamomtack/src/cardamomtack/memory/budget.py
@@ -1,4 +1,4 @@
-"""Bounds what a VM holds, and chooses the reader that has to go."""
+"""Bounds what a VM holds, and chooses the slowest of the callers that read."""
 
 from __future__ import annotations
 
@@ -40,7 +40,7 @@
         return True
 
     def release(self, size: int) -> None:
-        """Give back what was reserved."""
+        """Release reserved bytes."""
         self.held_bytes -= size
 
 
@@ -53,7 +53,7 @@
 
 
 class _Wait:
-    """Since when a reader has been waited for, and what it had taken then."""
+    """When the wait for a reader began, and what it had taken by then."""
 
     __slots__ = ("began_at_s", "taken_bytes")
 
@@ -65,8 +65,8 @@
 class ResponseBudget:
     """Bounds what is held of responses, between servers and slow readers.
 
-    What has arrived is counted in any case, so that a small response never waits. Long
-    ones go by `may_buffer` and `has_room`.
+    Bytes that have arrived are counted even beyond the limit, so that a small response
+    never waits. Long responses depend on `may_buffer` and `has_room`.
 
     Parameters
     ----------
--- a/packages/cardamomtack/src/cardamomtack/memory/const.py
+++ b/packages/cardamomtack/src/cardamomtack/memory/const.py
@@ -12,13 +12,13 @@
 """Share of the memory for the responses that wait for their readers."""
 
 BUFFERED_SHARE: Final = 0.5
-"""Up to which use of their share long responses are held until they are whole."""
+"""Part of the share up to which long responses are held until they are whole."""
 
 EXCESS_FACTOR: Final = 1.25
 """Use of the share from which a slow reader is closed without delay."""
 
 READER_GRACE_S: Final = 0.5
-"""For how long a reader that has just begun to wait is not compared with others."""
+"""Time of waiting from which a reader is compared with the others."""
 
 DESCRIPTORS_RESERVED: Final = 200
 """Descriptors that the platform keeps for files."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/body.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/body.py
@@ -21,7 +21,7 @@
 """Most that is read of a connection at once."""
 
 SMALL_PART_BYTES = 4096
-"""Parts of a body that are smaller are joined, as each costs memory of its own."""
+"""Smaller parts of a body are joined, because each has an overhead in memory."""
 
 WAITING_BYTES_MAX = 1_048_576
 """What may arrive of a long body that no server takes yet.
@@ -203,7 +203,7 @@
             self._waiter = None
 
     def _end_part(self) -> None:
-        """Take what has arrived since the last part as a part."""
+        """Make a part of the bytes that have arrived since the last one."""
         self._chunks.append(bytes(self._tail))
         self._tail.clear()
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -42,7 +42,7 @@
 KEEPALIVE_PROBES_MAX = 2
 KEEPALIVE_S = 1
 STREAM_BUFFER_BYTES_MAX = 65_536
-"""What is read ahead of a long answer; the kernel reads ahead as well."""
+"""Most that is read of a long answer before it is passed on."""
 
 UNACKNOWLEDGED_MS_MAX = 2500
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
@@ -54,7 +54,7 @@
 
 HEAD_BYTES_MAX = 65536
 HEAD_FREE_BYTES = 8192
-"""What a head may take that is not counted, if no request is before it."""
+"""Part of a head that is not counted if no other request waits before it."""
 
 HEAD_STEP_BYTES = 1024
 HEAD_TIMEOUT_S = 30.0
@@ -67,7 +67,7 @@
 
 RETRY_AFTER_MEMORY_S = 0.3
 UNSENT_BYTES_MAX = 32_768
-"""What a caller may leave unsent before it counts as a reader that is waited for."""
+"""Unsent bytes of a caller above which its response is paused."""
 
 
 class ConnectionOwner(Protocol):
@@ -480,7 +480,7 @@
     def _hold_head(self) -> None:
         """Reserve what the head takes, or refuse its request.
 
-        A head that no request is before may take a little that is not counted.
+        `HEAD_FREE_BYTES` of the only request on the connection are not counted.
         """
         heads = self._limits.heads
         if heads is None:
@@ -639,7 +639,7 @@
     def is_stalled(self, now_s: float) -> bool:
         """Return whether the caller has taken nothing of an answer for too long.
 
-        It is asked at intervals.
+        The state of the last call is compared, so it has to be called at intervals.
         """
         if not self.has_unsent:
             self._progress_at_s = None
@@ -659,7 +659,7 @@
         self._count_unsent(is_dropped=True)
 
     def _count_unsent(self, is_dropped: bool = False) -> None:
-        """Count what is unsent while the caller is waited for."""
+        """Count the unsent bytes while the response is paused."""
         responses = self._limits.responses
         if responses is None:
             return
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/receiving.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/receiving.py
@@ -15,7 +15,7 @@
 from cardamomtack_daemon.http1.body import READ_BYTES_MAX
 
 RECEIVE_BUFFER = memoryview(bytearray(READ_BYTES_MAX))
-"""Where the event loop puts what it reads, of one connection at a time."""
+"""Shared by all connections: each read is copied from it before the next one."""
 
 SOCKET_BUFFER_BYTES = 131_072
 """100 Mbit/s with 8 ms of delay have 100 kB under way; the kernel doubles it."""
@@ -28,7 +28,7 @@
 
 
 def open_listener(address: str, port: int) -> socket:
-    """Return a socket that is bound; what is accepted on it has its buffers."""
+    """Return a bound socket; accepted sockets inherit the sizes of its buffers."""
     family = AF_INET6 if ":" in address else AF_INET
     listener = create_server((address, port), family=family)
     bound_socket_buffers(listener)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/responses.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/responses.py
@@ -15,13 +15,13 @@
 from cardamomtack.helpers.clock import Clock
 from cardamomtack.memory.budget import ResponseBudget, ResponseReader
 
-LOG_PAUSE_S = 1.0
+LOG_INTERVAL_S = 1.0
 """Readers that are closed within this time share one line of the log."""
 
 SMALL_BYTES = 65_536
 """What is held of each response without regard to the others."""
 
-PATIENCE_S = 1.0
+ROOM_TIMEOUT_S = 1.0
 """For how long a response waits for room before the slowest reader is closed."""
 
 WINDOW_BYTES = 131_072
@@ -36,7 +36,7 @@
 
 
 class ResponseMemory:
-    """Counts what is held of responses, and has those without room wait.
+    """Counts what is held of responses, and delays those without room.
 
     Parameters
     ----------
@@ -62,7 +62,7 @@
 
     def __init__(self, budget: ResponseBudget, clock: Clock) -> None:
         self._clock = clock
-        self._logged_at_s = -LOG_PAUSE_S
+        self._logged_at_s = -LOG_INTERVAL_S
         self._logged_readers = 0
         self._waiters: deque[Future[None]] = deque()
         self.budget = budget
@@ -82,7 +82,7 @@
             waiter: Future[None] = get_running_loop().create_future()
             self._waiters.append(waiter)
             try:
-                async with timeout(PATIENCE_S):
+                async with timeout(ROOM_TIMEOUT_S):
                     await waiter
             except TimeoutError:
                 # What came free may have woken another response only.
@@ -101,7 +101,7 @@
         held_bytes = self.budget.held_bytes
         cast("ClosableReader", reader).close_slow()
         now_s = self._clock.read_monotonic_s()
-        if now_s - self._logged_at_s < LOG_PAUSE_S:
+        if now_s - self._logged_at_s < LOG_INTERVAL_S:
             return
         readers = self.closed_readers - self._logged_readers
         self._logged_at_s = now_s
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/pool.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/pool.py
@@ -8,6 +8,7 @@
 from anyio import move_on_after
 
 from cardamomtack.helpers.clock import Clock
+from cardamomtack.memory.const import IDLE_SERVERS_MAX
 from cardamomtack_daemon.http1.client import ServerConnection, async_connect
 
 CONNECT_TIMEOUT_S = 0.25
@@ -16,7 +17,6 @@
 HELPED_IDLE_S_MAX = 5.0
 """Longest time for which a connection through another VM is kept unused."""
 
-IDLE_MAX = 2000
 IDLE_PER_SERVER_MAX = 8
 RECENT_USE_S = 1.0
 
@@ -100,7 +100,7 @@
         self._clock = clock
         self._idle: dict[str, deque[ServerConnection]] = {}
         self.dialer: Dialer | None = None
-        self.idle_max = IDLE_MAX
+        self.idle_max = IDLE_SERVERS_MAX
         self.opened = 0
         self.discarded = 0
 
