Give up a long answer that proves that its request did not run

The rest of such an answer was kept for the caller, who gets a refusal of this VM instead. So its connection, up to 1 MiB of held memory and the server's count of running requests were never given back, and the request went to no other server.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -317,7 +317,10 @@
                 is_helped=bool(send.connection.helper_id),
             )
             send.record.rate_limit = rate if rate is not None else NO_RATE_LIMIT
-        if not answer.is_whole and result.answer is not None:
+        # Of an answer that proves "not run", nothing is passed on.
+        is_passed_on = result.answer is not None
+        is_passed_on = is_passed_on and result.outcome is not SendOutcome.NOT_RUN
+        if is_passed_on and not answer.is_whole:
             result.rest = AnswerRest(
                 self._release_connection,
                 send.server,
--- a/tests/cardamomtack_daemon/forwarding/test_slow_readers.py
+++ b/tests/cardamomtack_daemon/forwarding/test_slow_readers.py
@@ -7,7 +7,11 @@
 import anyio
 
 from tests.cardamomtack_daemon.forwarding.case import ForwardingCase, async_wait_for
-from tests.cardamomtack_daemon.forwarding.servers import async_answer, write_answer
+from tests.cardamomtack_daemon.forwarding.servers import (
+    async_answer,
+    write_answer,
+    write_not_run,
+)
 
 CALLERS = 3
 # More than the buffers of the kernel and the caller hold.
@@ -89,6 +93,24 @@
 
                 self.play(scenario)
 
+    def test_a_long_answer_that_proves_not_run_is_given_up(self):
+        # Its connection stayed open, and the server counted as busy for good.
+        async def scenario(vm, servers):
+            async def refuse_long(server, request, stream):
+                length = b"content-length: %d" % LONG_BYTES
+                head = write_not_run(request).replace(b"content-length: 0", length)
+                data = head + b"x" * LONG_BYTES
+                await stream.send(data)
+
+            servers[0].script = refuse_long
+            answer = await vm.async_call("book", "b-1", b"x")
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(vm.daemon.responses.budget.held_bytes, 0)
+            views = vm.daemon._registry.servers.values()
+            self.assertEqual([one.in_flight for one in views], [0])
+
+        self.play(scenario, servers=1)
+
 
 if __name__ == "__main__":
     unittest.main()
