Give up a long response whose caller leaves while its sends end

Sends end in a task group, at whose end the request may be cancelled after the head of a long response has come. Nobody took the rest then, and its connection, the held memory and the server's count of running requests were never given back.

The new test in test_slow_readers.py failed (time-out of 3 s) and passes now; test_slow_readers.py, test_answers.py, test_uploads.py and test_late.py passed.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -171,6 +171,10 @@
         """Return what became of the request in the end."""
         return await self.async_receive(inf) or SendResult(SendOutcome.OVERDUE)
 
+    def give_up_rest(self) -> None:
+        """Have the rest of a long answer dropped at the end, as its caller has gone."""
+        self.is_streaming = False
+
     def close(self) -> None:
         """End the send.
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/hedging.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/hedging.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from asyncio import CancelledError
 from collections.abc import Callable
 from math import inf
 
@@ -76,6 +77,9 @@
                 result = await self._async_hedge(call, first)
             else:
                 self._learn(first, result)
+        except CancelledError:
+            first.give_up_rest()
+            raise
         finally:
             first.close()
         return result
@@ -98,6 +102,9 @@
         second = self._open_send(call, probed)
         try:
             return await self._async_race(first, second)
+        except CancelledError:
+            second.give_up_rest()
+            raise
         finally:
             second.close()
 
--- a/tests/cardamomtack_daemon/forwarding/test_slow_readers.py
+++ b/tests/cardamomtack_daemon/forwarding/test_slow_readers.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import unittest
+from unittest.mock import patch
 
 import anyio
 
+from cardamomtack_daemon.forwarding.attempt import ServerSend
 from tests.cardamomtack_daemon.forwarding.case import ForwardingCase, async_wait_for
 from tests.cardamomtack_daemon.forwarding.servers import (
     async_answer,
@@ -16,6 +18,8 @@
 CALLERS = 3
 # More than the buffers of the kernel and the caller hold.
 LONG_BYTES = 4_000_000
+BODY_BYTES = 200_000
+GIVEN_UP_S = 3.0
 MIDDLE_BYTES = 300_000
 
 
@@ -111,6 +115,40 @@
 
         self.play(scenario, servers=1)
 
+    def test_a_response_whose_caller_leaves_as_it_begins_is_given_up(self):
+        # Its connection and what was held of it were never given back.
+        sending = ServerSend.async_send_body
+
+        async def scenario(vm, servers):
+            servers[0].script = async_answer_long
+            vm.daemon._caller_limits.body_bytes_max = BODY_BYTES
+            is_answered = anyio.Event()
+
+            async def end_slowly(send):
+                try:
+                    await sending(send)
+                    await anyio.sleep_forever()
+                finally:
+                    is_answered.set()
+                    with anyio.CancelScope(shield=True):
+                        await anyio.sleep(0.3)
+
+            with patch.object(ServerSend, "async_send_body", end_slowly):
+                async with vm.open_caller() as caller:
+                    await caller.async_send("book", "b-1", b"x" * BODY_BYTES)
+                    with anyio.fail_after(GIVEN_UP_S):
+                        await is_answered.wait()
+
+                async def read_held():
+                    views = vm.daemon._registry.servers.values()
+                    held_bytes = vm.daemon.responses.budget.held_bytes
+                    return held_bytes, sum(one.in_flight for one in views)
+
+                with anyio.fail_after(GIVEN_UP_S):
+                    await async_wait_for(read_held, lambda held: held == (0, 0))
+
+        self.play(scenario, servers=1)
+
 
 if __name__ == "__main__":
     unittest.main()
