--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -42,7 +42,7 @@
 KEEPALIVE_PROBES_MAX = 2
 KEEPALIVE_S = 1
 STREAM_BUFFER_BYTES_MAX = 65_536
-"""What is read ahead of a long answer; the kernel reads ahead as well."""
+"""Most that is read of a long answer before it is passed on."""
 
 UNACKNOWLEDGED_MS_MAX = 2500
 
@@ -416,13 +416,14 @@
             self._waiter.set_result(None)
 
     def _resume(self) -> None:
-        """Read on when there is room for more."""
+        """Read on when there is room for more, or nothing of the answer follows."""
         is_over = self._buffered_bytes > self._buffer_bytes_max
         if not self._is_paused or is_over or not self._transport:
             return
         if self._transport.is_closing():
             return
-        if self.memory is None or self.memory.budget.has_room:
+        has_room = self.memory is None or self.memory.budget.has_room
+        if has_room or self._collector.has_ended:
             self._is_paused = False
             self._transport.resume_reading()
 
