--- a/review/7/case.py
+++ b/review/7/case.py
@@ -129,6 +129,7 @@
 
     async def look_up(number):
         head = kit.make_head("GET", "/get/x", number, DEADLINE_MS)
+        record.add(f"a client sends {number}")
         status = await kit.send(process.front, head)
         record.add(f"the client of {number} gets {status}")
         statuses["lookup"][status] = statuses["lookup"].get(status, 0) + 1
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -57,6 +57,7 @@
         hosts[number] = host
         head = kit.make_head("POST", "/orders/x", number, DEADLINE_MS)
         head = head.replace(b"one.example", host.encode())
+        record.add(f"a client sends {number} to {host}")
         status = await kit.send(process.front, head)
         counts[status] = counts.get(status, 0) + 1
         record.add(f"the client of {number} ({host}) gets {status}")
