Log whether the body of a request was sent to its end

The decision log could not tell a server that is silent from one that still waits for the end of the body.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -12,6 +12,7 @@
 from cardamomtack.placing.chooser import build_send_conditions
 from cardamomtack.placing.server import ServerView, is_near_capacity
 from cardamomtack.quarantine.tracker import CrashTracker
+from cardamomtack_daemon.forwarding.body import BodyFramer
 from cardamomtack_daemon.forwarding.call import STATUS_MISDIRECTED, ForwardedCall
 from cardamomtack_daemon.forwarding.const import ANSWER_BUFFER_BYTES_MAX
 from cardamomtack_daemon.forwarding.outcome import AnswerRest, SendOutcome, SendResult
@@ -66,6 +67,7 @@
     """
 
     __slots__ = (
+        "_framer",
         "_has_begun",
         "_sender",
         "call",
@@ -86,6 +88,7 @@
         probed: ProbedServer,
         work_s: float,
     ) -> None:
+        self._framer = BodyFramer(call.request.length)
         self._has_begun = False
         self._sender = sender
         self.call = call
@@ -118,9 +121,10 @@
         self._has_begun = True
         self._sender.begin(self)
         call = self.call
+        head = call.encode_head(self.server.vm_id, self.started_s)
         try:
             self.connection.send(
-                call.encode(self.server.vm_id, self.started_s),
+                head + self._framer.frame_part(call.body.first_part),
                 call.request.method == b"HEAD",
                 call.owns_answer,
                 accepts_unframed=True,
@@ -136,14 +140,14 @@
         try:
             index = 1
             while (part := await call.body.async_read(index)) is not None:
-                await self.connection.async_send_more(call.frame_part(part), False)
+                framed = self._framer.frame_part(part)
+                await self.connection.async_send_more(framed, False)
                 index += 1
         except BodyAbortedError:
             # What the caller has not sent whole is answered by nobody.
             self.connection.cancel_receive()
             return
-        last = call.frame_part(b"")
-        await self.connection.async_send_more(last, True)
+        await self.connection.async_send_more(self._framer.frame_end(), True)
         # The time that the caller took says nothing of the server.
         self.started_s = self._sender.read_now_s()
 
@@ -185,6 +189,7 @@
             return
         self._has_begun = False
         now_s = self._sender.read_now_s()
+        self.record.is_body_sent = self._framer.has_ended
         self.record.duration_ms = int((now_s - self.started_s) * MS_PER_S)
         self._sender.end(self)
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/body.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/body.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from cardamomtack_daemon.http1.body import BodyMemory
-from cardamomtack_daemon.http1.messages import HttpRequest
+from cardamomtack_daemon.http1.messages import HttpRequest, encode_chunk
 
 PART_OVERHEAD_BYTES = 64
 """What a part of a body takes in memory beside its bytes."""
@@ -12,6 +12,42 @@
 """Longest body that is kept for a second server."""
 
 
+class BodyFramer:
+    """Frames the parts of a body for one send, and knows when its end has been framed.
+
+    Parameters
+    ----------
+    length : int or None
+        Length that the head of the request names, in bytes; None for chunks.
+
+    Attributes
+    ----------
+    has_ended : bool
+        Whether nothing of the body follows what has been framed.
+    """
+
+    __slots__ = ("_left_bytes", "has_ended")
+
+    def __init__(self, length: int | None) -> None:
+        self._left_bytes = length
+        self.has_ended = length == 0
+
+    def frame_part(self, part: bytes) -> bytes:
+        """Return a part as it goes to the server."""
+        if self._left_bytes is None:
+            return encode_chunk(part) if part else b""
+        self._left_bytes -= len(part)
+        self.has_ended = self._left_bytes <= 0
+        return part
+
+    def frame_end(self) -> bytes:
+        """Return what ends the body."""
+        if self._left_bytes is not None:
+            return b""
+        self.has_ended = True
+        return encode_chunk(b"")
+
+
 class ForwardedBody:
     """The parts of a body, which are kept for another server while there is memory.
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/call.py
@@ -13,7 +13,6 @@
 from cardamomtack_daemon.http1.messages import (
     HeaderList,
     HttpRequest,
-    encode_chunk,
     encode_request_head,
     find_field,
     list_nominated,
@@ -89,8 +88,8 @@
             return self.workspace.priority
         return self.route.priority
 
-    def encode(self, server_id: str, now_s: float) -> bytes:
-        """Return the head and the first part of the body as they go to a server.
+    def encode_head(self, server_id: str, now_s: float) -> bytes:
+        """Return the head as it goes to a server.
 
         The deadline that is passed on is what is left of the caller's. The workspace is
         that under which the call was opened, whatever versions have come since.
@@ -105,16 +104,9 @@
         headers.append((names.target_server, server_id.encode()))
         if self.workspace is not None:
             headers.append((names.workspace, self.workspace.name.encode()))
-        head = encode_request_head(
+        return encode_request_head(
             request.method, request.target, headers, request.length
         )
-        return head + self.frame_part(self.body.first_part)
-
-    def frame_part(self, part: bytes) -> bytes:
-        """Return a part of the body as it goes to a server; an empty one ends it."""
-        if self.request.length is not None:
-            return part
-        return encode_chunk(part)
 
     def owns_answer(self, status: int, headers: HeaderList) -> bool:
         """Return whether an answer belongs to this send, by the id that it echoes.
