End a body in chunks at every server that it is sent to

Cause: a body in chunks that ends with the piece that crosses 64 KiB is "in one part" after its first send. The second send wrote this part as a chunk and no last chunk, and told the connection that the request was whole, so that it was kept after an early answer.

Change: a send frames its own body, ends a body in one part with its first write, and the connection is told what has been framed. The same word decides both, so a request without its end can't be taken for whole.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -121,14 +121,17 @@
         self._has_begun = True
         self._sender.begin(self)
         call = self.call
-        head = call.encode_head(self.server.vm_id, self.started_s)
+        data = call.encode_head(self.server.vm_id, self.started_s)
+        data += self._framer.frame_part(call.body.first_part)
+        if call.body.has_one_part:
+            data += self._framer.frame_end()
         try:
             self.connection.send(
-                head + self._framer.frame_part(call.body.first_part),
+                data,
                 call.request.method == b"HEAD",
                 call.owns_answer,
                 accepts_unframed=True,
-                is_whole=call.body.has_one_part,
+                is_whole=self._framer.has_ended,
             )
         except BrokenAnswerError as error:
             return await self._async_break(error)
@@ -141,7 +144,7 @@
             index = 1
             while (part := await call.body.async_read(index)) is not None:
                 framed = self._framer.frame_part(part)
-                await self.connection.async_send_more(framed, False)
+                await self.connection.async_send_more(framed, self._framer.has_ended)
                 index += 1
         except BodyAbortedError:
             # What the caller has not sent whole is answered by nobody.
--- a/tests/cardamomtack_daemon/forwarding/test_helped_vm.py
+++ b/tests/cardamomtack_daemon/forwarding/test_helped_vm.py
@@ -14,6 +14,7 @@
     test_late,
     test_lifecycle,
     test_repeated_refusals,
+    test_resent_uploads,
     test_unbounded_responses,
     test_unproved_refusals,
     test_uploads,
@@ -130,6 +131,10 @@
     """Refusals that come once more."""
 
 
+class HelpedResentUploadTest(HelpedPlay, test_resent_uploads.ResentUploadTest):
+    """Long bodies that are sent once more."""
+
+
 class HelpedEndlessTest(HelpedPlay, test_unbounded_responses.EndlessTest):
     """Long and endless answers."""
 
