--- a/packages/cardamomtack/src/cardamomtack/routing/policy.py
+++ b/packages/cardamomtack/src/cardamomtack/routing/policy.py
@@ -60,6 +60,14 @@
     fault: str | None = None
     is_public: bool = False
 
+    @property
+    def prefix(self) -> str:
+        """Return host and path prefix, which no other route of a version has.
+
+        Routes of several hosts may have the same name.
+        """
+        return f"{self.host.lower()}{self.path_prefix}"
+
     @property
     def is_idempotent(self) -> bool:
         """Return whether a request may run more than once."""
--- a/packages/cardamomtack_operator/src/cardamomtack_operator/story.py
+++ b/packages/cardamomtack_operator/src/cardamomtack_operator/story.py
@@ -64,9 +64,10 @@
 def _tell_decision(line: LogLine, request: RequestDecision) -> list[str]:
     """Return the sentences on one decision."""
     whose = f" of workspace {request.workspace}" if request.workspace else ""
+    prefix = f" ({request.route_prefix})" if request.route_prefix else ""
     story = [
         f"{line.time}: {line.vm_id} had request {request.request_id}{whose} of route "
-        f"{request.route}, for service {request.service}, with version "
+        f"{request.route}{prefix}, for service {request.service}, with version "
         f"{request.version} of the configuration in force."
     ]
     age = _tell_age(request.servers_age_ms)
--- a/tests/cardamomtack_daemon/forwarding/test_resent_uploads.py
+++ b/tests/cardamomtack_daemon/forwarding/test_resent_uploads.py
@@ -1,4 +1,4 @@
-"""Long bodies that are sent once more end at the next server as they did at the first."""
+"""Long bodies that are sent once more end at the next server as at the first."""
 
 from __future__ import annotations
 
