--- a/tests/cardamomtack/routing/test_table.py
+++ b/tests/cardamomtack/routing/test_table.py
@@ -41,6 +41,12 @@
     return table
 
 
+def deal(table, host, target):
+    """Return the services that the next requests go to."""
+    route = table.find_route(host, target)
+    return {table.choose_service(route) for _ in range(10)}
+
+
 class FindTest(unittest.TestCase):
     """Which route a request has."""
 
@@ -124,6 +130,27 @@
             table.apply_configuration(FleetConfiguration(version, (route,), {}, LIMITS))
         self.assertEqual(dealt.count("b"), 10)
 
+    def test_routes_of_one_name_are_dealt_to_their_own_services(self):
+        # Guards against requests to one host that ran at the services of another.
+        def make_split(host, prefix, *services):
+            parts = tuple((service, 1.0) for service in services)
+            return make_route("orders", prefix, host, parts)
+
+        routes = [
+            make_split("one.test", "/", "a", "b"),
+            make_split("one.test", "/x/", "c", "d"),
+            make_split("Two.test", "/", "e", "f"),
+        ]
+        changed = [*routes[:2], make_split("two.test", "/", "g", "h")]
+        for order in (routes, routes[::-1]):
+            table = make_routes(1, *order)
+            self.assertEqual(deal(table, b"one.test", b"/"), {"a", "b"})
+            self.assertEqual(deal(table, b"one.test", b"/x/"), {"c", "d"})
+            self.assertEqual(deal(table, b"two.test", b"/"), {"e", "f"})
+            table.apply_configuration(FleetConfiguration(2, tuple(changed), {}, LIMITS))
+            self.assertEqual(deal(table, b"one.test", b"/"), {"a", "b"})
+            self.assertEqual(deal(table, b"two.test", b"/"), {"g", "h"})
+
 
 if __name__ == "__main__":
     unittest.main()
