--- a/packages/cardamomtack/src/cardamomtack/placing/chooser.py
+++ b/packages/cardamomtack/src/cardamomtack/placing/chooser.py
@@ -53,6 +53,11 @@
         """Return the work of a route, in seconds.
 
         Before its first answer it is taken to be a share of the latency objective.
+
+        Parameters
+        ----------
+        route : str
+            Host and path prefix of the route.
         """
         return self._estimates.get(route, WORK_INITIAL_OBJECTIVE_SHARE * objective_s)
 
--- a/packages/cardamomtack/src/cardamomtack/routing/policy.py
+++ b/packages/cardamomtack/src/cardamomtack/routing/policy.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from cardamomtack.workspaces.policy import WorkspaceKeys
@@ -46,6 +46,9 @@
         Why its requests can't be served, in words; None when they can.
     is_public : bool
         Whether its requests need no key of a workspace.
+    prefix : str
+        Host and path prefix, which no other route of a version has; routes of several
+        hosts may have one name.
     """
 
     name: str
@@ -59,14 +62,11 @@
     priority: int
     fault: str | None = None
     is_public: bool = False
+    prefix: str = field(init=False, compare=False)
 
-    @property
-    def prefix(self) -> str:
-        """Return host and path prefix, which no other route of a version has.
-
-        Routes of several hosts may have the same name.
-        """
-        return f"{self.host.lower()}{self.path_prefix}"
+    def __post_init__(self) -> None:
+        """Put host and path prefix together."""
+        object.__setattr__(self, "prefix", f"{self.host.lower()}{self.path_prefix}")
 
     @property
     def is_idempotent(self) -> bool:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/hedging.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/hedging.py
@@ -170,7 +170,7 @@
         if result.outcome is SendOutcome.ANSWERED:
             duration_s = self._clock.read_monotonic_s() - send.started_s
             self._placer.estimates.record_answer(
-                send.call.route.name,
+                send.call.route.prefix,
                 duration_s,
                 send.conditions,
                 send.server.slowdown_estimates,
