Close connections that come back after their server has gone

A connection whose server has been removed is now closed when it is given back. Both daemons share the pool; servers of the VM list are marked as removed like those of the registry.

test_connection_in_use_is_not_kept_for_the_next_server_of_its_id failed before: the former server ran ['b-1', 'c-0', 'c-1', 'c-2', 'c-3'], the one that follows it none.

--- a/packages/cardamomtack/src/cardamomtack/balancing/directory.py
+++ b/packages/cardamomtack/src/cardamomtack/balancing/directory.py
@@ -177,6 +177,7 @@
     def _remove_server(self, server: BackendServer) -> None:
         """Remove a server that the VM list no longer names."""
         self.changes += 1
+        server.is_removed = True
         del self.servers[server.vm_id]
         service = self.find_service(server.service)
         service.members.remove(server)
--- a/packages/cardamomtack/src/cardamomtack/balancing/server.py
+++ b/packages/cardamomtack/src/cardamomtack/balancing/server.py
@@ -43,6 +43,8 @@
     ----------
     in_flight : int
         Requests of this VM that it has not answered yet.
+    is_removed : bool
+        Whether the VM list names it no longer.
     failure_share : float
         Share of recent requests that failed, from 0 to 1.
     answered_at_s : float
@@ -65,6 +67,7 @@
         "ejected_until_s",
         "failure_share",
         "in_flight",
+        "is_removed",
         "port",
         "ready_since_s",
         "service",
@@ -83,6 +86,7 @@
         self.slots = slots
         self.state = ServerState.READY
         self.in_flight = 0
+        self.is_removed = False
         self.failure_share = 0.0
         self.drain_reason: str | None = None
         self.ejected_until_s = 0.0
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/pool.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/pool.py
@@ -27,7 +27,9 @@
     Attributes
     ----------
     vm_id : str
-        Names the server; a new incarnation at the same address has another.
+        Names the server; its next incarnation may have the same name elsewhere.
+    is_removed : bool
+        Whether the server is gone, whoever has its name and address now.
     """
 
     @property
@@ -42,6 +44,10 @@
     def port(self) -> int:
         """Return the port."""
 
+    @property
+    def is_removed(self) -> bool:
+        """Return whether the server is gone."""
+
 
 class Dialer(Protocol):
     """Opens connections to servers."""
@@ -160,8 +166,11 @@
 
     def release(self, server: ServerAddress, connection: ServerConnection) -> None:
         """Keep a connection for the next request, or close it."""
+        if server.is_removed or not connection.is_reusable:
+            self.discard(connection)
+            return
         idle = self._idle.setdefault(server.vm_id, deque())
-        if not connection.is_reusable or len(idle) >= IDLE_PER_SERVER_MAX:
+        if len(idle) >= IDLE_PER_SERVER_MAX:
             self.discard(connection)
             return
         connection.used_at_s = self._clock.read_monotonic_s()
