--- a/tests/cardamomtack_platform/test_translation.py
+++ b/tests/cardamomtack_platform/test_translation.py
@@ -284,6 +284,37 @@
                 self.assertEqual(len(configuration.findings), findings)
                 self.assertEqual(configuration.limits is None, name == "limits")
 
+    def test_the_first_of_two_services_of_one_name_holds(self):
+        # Guards against a service whose second entry won without a word.
+        services = [*CONFIGURATION["services"], {"name": "desk", "maxConns": 1}]
+        record = {**CONFIGURATION, "services": services}
+        configuration = parse_configuration(encode(record))
+        self.assertEqual(configuration.services["desk"].connections_max, 220)
+        self.assertEqual(
+            configuration.findings, ("/services/2/name: 'desk' is there twice",)
+        )
+
+    def test_the_first_of_two_routes_of_one_host_and_prefix_holds(self):
+        # Guards against a host whose name, written otherwise, replaced its routes.
+        paths = [{**PATH, "service": "line"}]
+        hosts = [*CONFIGURATION["vhosts"], {"host": "One.Example", "paths": paths}]
+        record = {**CONFIGURATION, "vhosts": hosts}
+        configuration = parse_configuration(encode(record))
+        self.assertEqual(
+            [route.host for route in configuration.routes], ["one.example"]
+        )
+        self.assertEqual(
+            configuration.findings,
+            ("/vhosts/1/paths/0/pathPrefix: is there twice",),
+        )
+
+    def test_routes_of_one_name_are_all_taken(self):
+        hosts = [*CONFIGURATION["vhosts"], {"host": "two.example", "paths": [PATH]}]
+        record = {**CONFIGURATION, "vhosts": hosts}
+        configuration = parse_configuration(encode(record))
+        self.assertEqual([route.name for route in configuration.routes], ["r-1"] * 2)
+        self.assertEqual(configuration.findings, ())
+
     def test_uploads_run_at_most_once_for_each_send(self):
         configuration = self.change_route("kind", "upload")
         route = configuration.routes[1]
