Log requests that end with their VM apart from callers that left

A request that was cut at the end of a stop had the reason `caller has gone` in the log, so that LOST could not be told from callers that gave up, and not what it had waited for.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -52,6 +52,8 @@
 from cardamomtack_daemon.quotas.const import QUOTA_KEY_BYTES
 from cardamomtack_daemon.quotas.gate import QuotaGate
 
+REASON_CALLER_GONE = "caller has gone"
+REASON_ENDED = "this VM has ended"
 REASON_EVACUATED = "availability zone is evacuated"
 
 Handled = tuple[HttpAnswer, AnswerSource | None]
@@ -179,7 +181,9 @@
         try:
             handled, reason = await self._async_admit(call)
         except CancelledError:
-            self._decisions.record_call(call, 0, "caller has gone")
+            has_ended = self._clock.read_monotonic_s() >= self.ends_at_s
+            reason = REASON_ENDED if has_ended else REASON_CALLER_GONE
+            self._decisions.record_call(call, 0, reason)
             raise
         finally:
             call.body.release()
