Answer requests that wait when their VM ends

Cause: the end of a stop answers the calls that are in flight at servers, and cancels all others. A call in the queue waits by its own latency objective, which knows nothing of the end; whether it can finish was looked at only once a server was found.

Change: Departure knows the end. It bounds each search for a server (queue, probes, new connections, other VMs' connections, searches for a second send), so that the search ends while there is time to answer, and the call is refused with 503 and Retry-After if nothing of it ran. A request that would outlast the end is refused at once, when it comes or when the stop begins, before it takes a token of a quota. Second sends beside a late one end with it. Answers that are written at the end get up to 0.15 s more to leave.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/const.py
@@ -15,10 +15,16 @@
 CLOCK_CHECK_S: Final = 0.25
 CLOCK_JUMP_S: Final = 0.4
 DRAIN_CHECK_S: Final = 0.05
+DELIVERY_S_MAX: Final = 0.15
+"""Time after the last answers in which they may leave; a part of EXIT_MARGIN_S."""
+
 EXIT_MARGIN_S: Final = 0.3
 FINISH_FACTOR: Final = 1.5
 """How many times as long as estimated an answer may take before this VM ends."""
 
+FINISH_S_MIN: Final = 0.1
+"""Time that a short answer is given before this VM ends."""
+
 FLEET_VMS_ASSUMED: Final = 320
 """How many VMs share the health checks as long as a VM that starts knows no others."""
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -46,6 +46,7 @@
 from cardamomtack_daemon.forwarding.const import (
     BALANCER_NOTICE_S,
     BALANCER_NOTICE_SHARE_MAX,
+    DELIVERY_S_MAX,
     DRAIN_CHECK_S,
     EXIT_MARGIN_S,
     FLEET_VMS_ASSUMED,
@@ -54,6 +55,7 @@
     MAINTENANCE_S,
 )
 from cardamomtack_daemon.forwarding.decisions import DecisionRecorder, TopicAges
+from cardamomtack_daemon.forwarding.departure import Departure
 from cardamomtack_daemon.forwarding.forwarder import Forwarder
 from cardamomtack_daemon.forwarding.header_names import HeaderNames
 from cardamomtack_daemon.forwarding.opening import CallOpener
@@ -139,6 +141,7 @@
         "_callers",
         "_clock",
         "_crash_tracker",
+        "_departure",
         "_dialer",
         "_forwarder",
         "_is_leaving",
@@ -185,6 +188,7 @@
         self._is_leaving = False
         self._settings = settings
         self._crash_tracker = CrashTracker(clock)
+        self._departure = Departure(clock)
         self._pool = ConnectionPool(clock)
         self._registry = ServerRegistry(clock)
         self._registry.add_listener(self._drop_connections)
@@ -305,7 +309,13 @@
             self._pool, names, self._limits, self._dialer, ways, clock
         )
         placer = Placer(
-            self._registry, chooser, self._prober, self._pool, self._dialer, clock
+            self._registry,
+            chooser,
+            self._prober,
+            self._pool,
+            self._dialer,
+            clock,
+            self._departure,
         )
         self._sender = RequestSender(
             self._pool,
@@ -339,6 +349,7 @@
             self._limits,
             decisions,
             self._quotas.gate,
+            self._departure,
         )
         self._caller_limits = ConnectionLimits(
             BODY_BYTES_MAX,
@@ -460,7 +471,7 @@
         What would not be answered before the end is refused before it is sent.
         """
         left_s = self._settings.grace_s - EXIT_MARGIN_S
-        self._forwarder.ends_at_s = self._clock.read_monotonic_s() + left_s
+        self._departure.begin(left_s)
         self._is_leaving = True
         self._callers.is_closing = True
         self._limits.leave()
@@ -481,6 +492,9 @@
         self._callers.close_idle()
         # Answers that were just written leave with the next turns of the loop.
         await sleep(DRAIN_CHECK_S)
+        with move_on_after(DELIVERY_S_MAX):
+            while self._callers.count_busy():
+                await sleep(DRAIN_CHECK_S)
         logger.bind(left=self._callers.count_busy()).info("graceful shutdown done")
 
     def _apply_configuration(self, configuration: FleetConfiguration) -> None:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/forwarder.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from asyncio import CancelledError
-from math import inf
 from random import Random
 
 from loguru import logger
@@ -26,16 +25,17 @@
 from cardamomtack_daemon.forwarding.attempt import RequestSender
 from cardamomtack_daemon.forwarding.call import ForwardedCall
 from cardamomtack_daemon.forwarding.const import (
-    FINISH_FACTOR,
     QUOTA_RETURN_OBJECTIVE_SHARE,
     SUSPECT_RETRY_AFTER_S,
     SUSPENDED_RETRY_AFTER_S,
     UNCONFIGURED_RETRY_AFTER_S,
 )
 from cardamomtack_daemon.forwarding.decisions import DecisionRecorder
+from cardamomtack_daemon.forwarding.departure import Departure
 from cardamomtack_daemon.forwarding.hedging import HedgedSender
 from cardamomtack_daemon.forwarding.opening import (
     LEAVING_RETRY_AFTER_S,
+    REASON_LEAVING,
     CallOpener,
 )
 from cardamomtack_daemon.forwarding.outcome import SendOutcome, SendResult
@@ -86,11 +86,11 @@
         Takes how requests ended.
     quotas : QuotaGate
         Admits the requests of workspaces.
+    departure : Departure
+        Knows when this VM ends.
 
     Attributes
     ----------
-    ends_at_s : float
-        Monotonic time at which this VM ends, in seconds; infinite while it doesn't.
     in_flight : int
         Requests that are not answered yet.
     settings : EntrySettings
@@ -104,6 +104,7 @@
         "_clock",
         "_crash_tracker",
         "_decisions",
+        "_departure",
         "_hedged",
         "_limits",
         "_opener",
@@ -114,7 +115,6 @@
         "_routes",
         "_sender",
         "_started_at_s",
-        "ends_at_s",
         "in_flight",
         "settings",
         "vms",
@@ -133,7 +133,9 @@
         limits: SharedLimits,
         decisions: DecisionRecorder,
         quotas: QuotaGate,
+        departure: Departure,
     ) -> None:
+        self._departure = departure
         self._quotas = quotas
         self._decisions = decisions
         self._opener = opener
@@ -148,9 +150,8 @@
         self._routes = routes
         self._sender = sender
         self._hedged = HedgedSender(
-            sender, placer, crash_tracker, self._find_budget, clock
+            sender, placer, crash_tracker, self._find_budget, clock, departure
         )
-        self.ends_at_s = inf
         self.in_flight = 0
         self.settings = settings
         self.vms: int | None = None
@@ -178,10 +179,13 @@
         if not self._routes.has_service(call.service):
             detail = "the configuration does not name the service of this route"
             return self._refuse_call(call, detail, UNCONFIGURED_RETRY_AFTER_S)
+        if not self._can_finish(call):
+            # It would not even be answered in time if it were sent at once.
+            return self._refuse_call(call, REASON_LEAVING, LEAVING_RETRY_AFTER_S)
         try:
             handled, reason = await self._async_admit(call)
         except CancelledError:
-            has_ended = self._clock.read_monotonic_s() >= self.ends_at_s
+            has_ended = self._departure.is_over
             reason = REASON_ENDED if has_ended else REASON_CALLER_GONE
             self._decisions.record_call(call, 0, reason)
             raise
@@ -241,11 +245,12 @@
         had_capacity = False
         while True:
             probed = await self._placer.async_place(call)
-            if probed is None:
-                return self._finish_unplaced(call, result)
             if not self._can_finish(call):
-                self._sender.release_unused(probed)
+                if probed is not None:
+                    self._sender.release_unused(probed)
                 return self._finish_leaving(call, result)
+            if probed is None:
+                return self._finish_unplaced(call, result)
             if result is not None and not budget.spend_send(
                 self._clock.read_monotonic_s(),
                 choose_budget_share(call.priority),
@@ -265,14 +270,13 @@
     def _can_finish(self, call: ForwardedCall) -> bool:
         """Return whether a call that is sent now is answered before this VM ends."""
         estimate_s = call.estimate_s or self._placer.estimate_work_s(call)
-        now_s = self._clock.read_monotonic_s()
-        return now_s + FINISH_FACTOR * estimate_s <= self.ends_at_s
+        return self._departure.can_finish(estimate_s)
 
     def _finish_leaving(
         self, call: ForwardedCall, result: SendResult | None
     ) -> tuple[Handled, str]:
         """Return the final answer of a call that other VMs can take, and the reason."""
-        reason = "this VM is leaving"
+        reason = REASON_LEAVING
         if result is not None and result.outcome is not SendOutcome.NOT_RUN:
             return self._finish(call, result, reason)
         return (build_refusal(reason, LEAVING_RETRY_AFTER_S), None), reason
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/hedging.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/hedging.py
@@ -19,6 +19,7 @@
 from cardamomtack.quarantine.tracker import CrashTracker
 from cardamomtack_daemon.forwarding.attempt import RequestSender, ServerSend
 from cardamomtack_daemon.forwarding.call import ForwardedCall
+from cardamomtack_daemon.forwarding.departure import Departure
 from cardamomtack_daemon.forwarding.outcome import SendOutcome, SendResult
 from cardamomtack_daemon.forwarding.placer import Placer
 from cardamomtack_daemon.forwarding.prober import ProbedServer
@@ -48,9 +49,18 @@
         Returns the budget of further sends to a service.
     clock : Clock
         Tells the time.
+    departure : Departure
+        Knows when this VM ends.
     """
 
-    __slots__ = ("_clock", "_crash_tracker", "_find_budget", "_placer", "_sender")
+    __slots__ = (
+        "_clock",
+        "_crash_tracker",
+        "_departure",
+        "_find_budget",
+        "_placer",
+        "_sender",
+    )
 
     def __init__(
         self,
@@ -59,8 +69,10 @@
         crash_tracker: CrashTracker,
         find_budget: Callable[[str], RetryBudget],
         clock: Clock,
+        departure: Departure,
     ) -> None:
         self._clock = clock
+        self._departure = departure
         self._find_budget = find_budget
         self._crash_tracker = crash_tracker
         self._placer = placer
@@ -132,9 +144,9 @@
             return None
         now_s = self._clock.read_monotonic_s()
         budget = self._find_budget(call.service)
-        if not is_near_capacity(probed.server) and budget.spend_send(
-            now_s, HEDGE_BUDGET_SHARE
-        ):
+        is_useful = not is_near_capacity(probed.server)
+        is_useful = is_useful and self._departure.can_finish(call.estimate_s or 0.0)
+        if is_useful and budget.spend_send(now_s, HEDGE_BUDGET_SHARE):
             return probed
         self._sender.release_unused(probed)
         return None
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/opening.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/opening.py
@@ -25,6 +25,7 @@
 """Time without a refusal after which all callers are taken for new ones."""
 
 LEAVING_RETRY_AFTER_S = 0.05
+REASON_LEAVING = "this VM is leaving"
 REASON_NO_ROUTE = "no route matches"
 UNBOUNDED_CALLER_S = 60.0
 """For how long a caller without a deadline takes a long answer."""
@@ -111,7 +112,7 @@
         if route.fault is not None:
             return build_refusal(route.fault, UNCONFIGURED_RETRY_AFTER_S)
         if self.is_refusing:
-            return build_refusal("this VM is leaving", LEAVING_RETRY_AFTER_S)
+            return build_refusal(REASON_LEAVING, LEAVING_RETRY_AFTER_S)
         if self._has_field_twice(request):
             detail = "request names its host or its id more than once"
             return build_problem(400, detail, OUTCOME_NOT_RUN)
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from math import inf
 
+from anyio import move_on_after
+
 from cardamomtack.discovery.registry import ServerRegistry
 from cardamomtack.helpers.clock import Clock
 from cardamomtack.placing.admission import (
@@ -29,6 +31,7 @@
 from cardamomtack.placing.wait_queue import QueuedCall
 from cardamomtack.placing.zone_finds import ZoneFinds
 from cardamomtack_daemon.forwarding.call import ForwardedCall
+from cardamomtack_daemon.forwarding.departure import Departure
 from cardamomtack_daemon.forwarding.prober import ProbedServer, ServerProber
 from cardamomtack_daemon.forwarding.wait_queue import AsyncQueuedCall, AsyncWaitQueue
 from cardamomtack_daemon.http1.client import ServerConnection
@@ -75,6 +78,8 @@
         Knows which servers are not reached.
     clock : Clock
         Tells the time.
+    departure : Departure
+        Knows when this VM ends.
 
     Attributes
     ----------
@@ -85,6 +90,7 @@
     __slots__ = (
         "_chooser",
         "_clock",
+        "_departure",
         "_dialer",
         "_finds",
         "_pool",
@@ -102,7 +108,9 @@
         pool: ConnectionPool,
         dialer: ServerDialer,
         clock: Clock,
+        departure: Departure,
     ) -> None:
+        self._departure = departure
         self._dialer = dialer
         self._finds: dict[str, ZoneFinds] = {}
         self._prober = prober
@@ -126,6 +134,17 @@
         may_wait : bool
             Whether the call may wait until a server has capacity for it.
         """
+        if not self._departure.has_begun:
+            return await self._async_place(call, may_wait)
+        latest_start_s = self._compute_latest_start_s(call)
+        with move_on_after(latest_start_s - self._clock.read_monotonic_s()):
+            return await self._async_place(call, may_wait)
+        return None
+
+    async def _async_place(
+        self, call: ForwardedCall, may_wait: bool
+    ) -> ProbedServer | None:
+        """Return a server, however long that takes."""
         service = self._registry.find_service(call.service)
         if may_wait and not call.sends and not self._admits(call):
             call.refusal = REASON_URGENT
@@ -181,7 +200,7 @@
             placed = await self._async_place_probed(service, call, queue)
         if placed is None and may_wait:
             placed = await self._async_wait(service, call, queue)
-            if placed is not None:
+            if placed is not None or not self._can_start(call):
                 return placed
         if placed is None and queue.is_empty:
             placed = await self._async_place_without_capacity(service, call)
@@ -330,17 +349,21 @@
         async def poll() -> None:
             await self._async_poll(service, call, queue)
 
+        def can_be_served() -> bool:
+            return not service.is_evacuated and self._can_start(call)
+
         work_s = self.estimate_work_s(call)
         began_s = self._clock.read_monotonic_s()
         self._chooser.record_shortage(service, began_s)
         queued = AsyncQueuedCall(
             call.priority, call.objective_s, work_s, is_fit, call.workspace
         )
+        queued.latest_start_at_s = min(
+            queued.latest_start_at_s, self._departure.compute_latest_start_s(work_s)
+        )
         is_done = False
         try:
-            placed = await queue.async_wait(
-                queued, poll, lambda: not service.is_evacuated
-            )
+            placed = await queue.async_wait(queued, poll, can_be_served)
             is_done = True
         finally:
             call.position = queued.position
@@ -387,6 +410,17 @@
             return None
         return await self._async_place_unprobed(service, call, True, full)
 
+    def _compute_latest_start_s(self, call: ForwardedCall) -> float:
+        """Return until when a call may be sent, so that this VM passes its answer on.
+
+        It is a monotonic time, in seconds.
+        """
+        return self._departure.compute_latest_start_s(self.estimate_work_s(call))
+
+    def _can_start(self, call: ForwardedCall) -> bool:
+        """Return whether the answer to a call that is sent now can be passed on."""
+        return self._departure.can_finish(self.estimate_work_s(call))
+
     def estimate_work_s(self, call: ForwardedCall) -> float:
         """Return the work of a call on an idle server, in seconds."""
         return self.estimates.estimate_work_s(call.route.prefix, call.route.objective_s)
--- a/tests/cardamomtack_daemon/forwarding/test_helped_vm.py
+++ b/tests/cardamomtack_daemon/forwarding/test_helped_vm.py
@@ -15,6 +15,7 @@
     test_lifecycle,
     test_repeated_refusals,
     test_resent_uploads,
+    test_stop_waits,
     test_unbounded_responses,
     test_unproved_refusals,
     test_uploads,
@@ -135,6 +136,10 @@
     """Long bodies that are sent once more."""
 
 
+class HelpedStopWaitTest(HelpedPlay, test_stop_waits.StopWaitTest):
+    """Requests that wait when their VM ends."""
+
+
 class HelpedEndlessTest(HelpedPlay, test_unbounded_responses.EndlessTest):
     """Long and endless answers."""
 
