Answer what outlasts a shutdown at the daemon of our own interface

Each request now ends with an answer when the shutdown does: 503 if it was not admitted, so that nothing of it ran, else 504, which promises nothing. The last 0.2 s of the shutdown are left for that.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/daemon.py
@@ -58,6 +58,9 @@
 from cardamomtack_daemon.traffic.metrics import TrafficMetrics
 
 DRAIN_CHECK_S = 0.02
+EXIT_MARGIN_S = 0.2
+"""Part of a graceful shutdown that is left for the last answers."""
+
 GC_THRESHOLD = 20_000
 INCARNATION_BITS = 64
 LOG_CONNECTIONS_MAX = 8
@@ -367,7 +370,8 @@
     async def _async_shut_down(self) -> None:
         """Serve on until the balancer has noticed, and finish what is in flight."""
         self._is_leaving = True
-        with move_on_after(self._settings.shutdown_ms_max / MS_PER_S):
+        shutdown_s = self._settings.shutdown_ms_max / MS_PER_S
+        with move_on_after(max(0.0, shutdown_s - EXIT_MARGIN_S)):
             await sleep(self._settings.balancer_notice_ms / MS_PER_S)
             self._caller_server.is_closing = True
             while self._handler.in_flight or self._keyed.running:
@@ -376,6 +380,9 @@
             await sleep(DRAIN_CHECK_S)
             await self._claims_task.async_flush()
             await self._counts_task.async_report_once()
+        # What is still running gets an answer rather than a broken connection.
+        self._handler.expire_all()
+        await sleep(DRAIN_CHECK_S)
         logger.bind(left=self._handler.in_flight).info("graceful shutdown done")
 
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/traffic/call.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/traffic/call.py
@@ -28,6 +28,8 @@
         Names this request to the backend server, which may echo it.
     server_id : str
         Server that answered, empty before.
+    is_admitted : bool
+        Whether it may have been sent.
     """
 
     request: HttpRequest
@@ -38,6 +40,7 @@
     traceparent: bytes
     server_id: str = ""
     tried: set[str] = field(default_factory=set)
+    is_admitted: bool = False
 
     def encode(self, now_s: float) -> bytes:
         """Return the request as it goes to a backend server.
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/traffic/handler.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/traffic/handler.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from random import Random
 
-from anyio import Event, move_on_after
+from anyio import CancelScope, Event, move_on_after
 from loguru import logger
 
 from cardamomtack.admission.queue import Admission, ServiceAdmission
@@ -88,6 +88,7 @@
         "_keyed",
         "_random",
         "_routes",
+        "_scopes",
         "_settings",
         "_tracer",
         "in_flight",
@@ -115,6 +116,7 @@
         self._random = random
         self._routes: RouteTable | None = None
         self._admissions: dict[str, ServiceAdmission] = {}
+        self._scopes: set[CancelScope] = set()
         self.limiter = RateLimiter()
         self.in_flight = 0
 
@@ -195,7 +197,25 @@
         request_id = b"%016x" % self._random.getrandbits(REQUEST_ID_BITS)
         return Call(request, kind, deadline_s, digest, request_id, span.traceparent)
 
+    def expire_all(self) -> None:
+        """Have every request that waits or runs answered now, because this VM ends."""
+        for scope in list(self._scopes):
+            scope.cancel()
+
     async def _async_answer(self, call: Call) -> Handled:
+        """Answer a call, at the latest when this VM ends."""
+        with CancelScope() as scope:
+            self._scopes.add(scope)
+            try:
+                return await self._async_admit(call)
+            finally:
+                self._scopes.discard(scope)
+        detail = "this VM is leaving"
+        if not call.is_admitted:
+            return build_problem(503, detail, OUTCOME_NOT_RUN, RETRY_AFTER_S), None
+        return build_problem(504, detail, OUTCOME_UNKNOWN), None
+
+    async def _async_admit(self, call: Call) -> Handled:
         """Answer a call, or refuse it before anything is sent."""
         if self._crash_tracker.is_quarantined(call.digest):
             detail = "this request crashed the backend servers that ran it"
@@ -211,6 +231,7 @@
         if not await self._async_enter(call, admission):
             detail = f"service {call.kind.service.name!r} is overloaded"
             return build_problem(503, detail, OUTCOME_NOT_RUN, RETRY_AFTER_S), None
+        call.is_admitted = True
         return await self._async_dispatch(call, key_digest, admission)
 
     async def _async_dispatch(
--- a/tests/fleet/test_leaving.py
+++ b/tests/fleet/test_leaving.py
@@ -5,6 +5,7 @@
 import threading
 import time
 import unittest
+from typing import Any, ClassVar
 
 import anyio
 
@@ -109,5 +110,39 @@
         self.assertEqual(self.fleet.daemons[vm_id].wait(10), 0)
 
 
+class ShortShutdownTest(FleetCase):
+    """A graceful shutdown that requests outlast."""
+
+    settings: ClassVar[dict[str, Any]] = {
+        "balancer_notice_ms": 100,
+        "shutdown_ms_max": 1500,
+    }
+
+    def test_requests_that_outlast_the_shutdown_are_answered(self):
+        # Guards against requests that were closed unanswered with their VM.
+        self.set_behaviours(BackendBehaviour(service_ms=6000.0))
+        vm_id = self.fleet.entry_ids[0]
+        results: list[CallerResult] = []
+
+        async def call_one(request: CallerRequest) -> None:
+            results.append(await Caller([]).async_call(request, self.find_port(0)))
+
+        async def call_all() -> None:
+            async with anyio.create_task_group() as tasks:
+                for index in range(60):
+                    make = self.make_booking if index % 2 else self.make_lookup
+                    tasks.start_soon(call_one, make(12_000))
+                await anyio.sleep(0.3)
+                self.fleet.daemons[vm_id].terminate()
+
+        anyio.run(call_all)
+        self.assertEqual(self.fleet.daemons[vm_id].wait(10), 0)
+        self.assertLessEqual({one.status for one in results}, {503, 504})
+        runs = self.fleet.count_runs()
+        for result in results:
+            if result.outcome == "not-run":
+                self.assertEqual(runs.get(result.key, 0), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
