Take no answer whose status HTTP doesn't have

Callers got what a server in trouble had sent with a status such as 000: `HTTP/1.1 0`, which is no answer in the protocol, where the answer had no length, was over 1 MiB or answered a HEAD; and `HTTP/1.1 600` or 999 for bookings. A 600 that said "not run" was taken for proof, and 000 for a success of its server.

Cause: the parser takes any three digits, a check made for informational answers caught some statuses under 200 on one of the ways an answer ends, and nothing looked at those over 599. Change: the collector, which reads all answers of servers, health checks, the store and servers reached through other VMs, takes 100 to 599 only.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/collector.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/collector.py
@@ -15,9 +15,13 @@
 FOREIGN_BYTES_MAX = 1_048_576
 HEAD_BYTES_MAX = 65_536
 LINE_BYTES_MAX = 65_536
-STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]\b")
 """Most bytes that may bring no field, no part of a body and no end of an answer."""
 
+STATUSES = range(100, 600)
+"""The status codes that HTTP has (RFC 9110, 15)."""
+
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]\b")
+
 AnswerCheck = Callable[[int, HeaderList], bool]
 """Tells by status and head whether an answer belongs to the request sent last."""
 
@@ -26,6 +30,10 @@
     """A server sends bytes that do not become an answer."""
 
 
+class UnknownStatusError(Exception):
+    """A server answers with a status that HTTP doesn't have."""
+
+
 class AnswerCollector:
     """Collects what the parser reports of one answer.
 
@@ -127,13 +135,21 @@
         self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Note that the head is complete, and whether the answer is another's."""
+        """Note that the head is complete, and whether the answer is another's.
+
+        Raises
+        ------
+        UnknownStatusError
+            When it is none of HTTP.
+        """
         if self.has_ended:
             return
         status = self.parser.get_status_code()
         if self._check is not None and not self._check(status, self.headers):
             self._is_foreign = True
             return
+        if status not in STATUSES:
+            raise UnknownStatusError(f"status {status:03d}")
         self.has_head = True
 
     def on_body(self, chunk: bytes) -> None:
--- a/tests/cardamomtack_daemon/forwarding/test_helped_vm.py
+++ b/tests/cardamomtack_daemon/forwarding/test_helped_vm.py
@@ -17,6 +17,7 @@
     test_resent_uploads,
     test_stop_waits,
     test_unbounded_responses,
+    test_unknown_statuses,
     test_unproved_refusals,
     test_uploads,
     test_workspaces,
@@ -147,6 +148,10 @@
     connections = 4
 
 
+class HelpedUnknownStatusTest(HelpedPlay, test_unknown_statuses.UnknownStatusTest):
+    """Statuses that HTTP doesn't have."""
+
+
 class HelpedUnprovedRefusalTest(HelpedPlay, test_unproved_refusals.UnprovedRefusalTest):
     """Refusals without proof."""
 
