Keep the status of an answer when its head is complete

A 421 behind a 200 was taken for proof that a booking had not run, and it ran twice.

Cause: the status was read from the parser when the receiver had its turn; by then the parser may have begun to read a second answer. Change: the collector keeps it at the callback, as it does with fields and body.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -300,8 +300,7 @@
         if not await self._async_wait_for_body(timeout_s):
             return None
         collector = self._collector
-        status = collector.parser.get_status_code()
-        answer = HttpAnswer(status, collector.headers, self._take_body())
+        answer = HttpAnswer(collector.status, collector.headers, self._take_body())
         length = answer.find_header(b"content-length")
         answer.length = int(length) if length is not None else None
         answer.is_whole = collector.has_ended
@@ -463,7 +462,7 @@
         if not collector.has_head:
             return
         if collector.has_ended:
-            if collector.parser.get_status_code() <= INFORMATIONAL_STATUS_MAX:
+            if collector.status <= INFORMATIONAL_STATUS_MAX:
                 self._fault = "informational answer"
         elif self._is_head:
             collector.has_ended = True
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/collector.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/collector.py
@@ -41,6 +41,12 @@
     ----------
     check : callable or None
         Tells which answers belong to the request; the others are passed over.
+
+    Attributes
+    ----------
+    status : int
+        Status of the answer; 0 before its head is complete. The parser tells that of
+        whatever stands behind the answer.
     """
 
     __slots__ = (
@@ -60,6 +66,7 @@
         "is_framed",
         "keep_alive",
         "parser",
+        "status",
         "surplus",
     )
 
@@ -80,6 +87,7 @@
         self.is_framed = False
         self.has_head = False
         self.has_ended = False
+        self.status = 0
         self.surplus = False
 
     def feed(self, data: bytes) -> None:
@@ -150,6 +158,7 @@
             return
         if status not in STATUSES:
             raise UnknownStatusError(f"status {status:03d}")
+        self.status = status
         self.has_head = True
 
     def on_body(self, chunk: bytes) -> None:
