Pass nothing on behind the answer to a HEAD

The collector now knows that the request was a HEAD and ends the answer with its head; what follows is surplus and closes the connection.

test_bytes_behind_an_answer_to_head_are_no_body failed before: the response ended with b'content-length: 5\r\n\r\nHTTP/'.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -255,7 +255,7 @@
         if self._transport is None or self._is_cut:
             raise BrokenAnswerError("connection broke before sending", True)
         self._accepts_unframed = accepts_unframed
-        self._collector = AnswerCollector(check)
+        self._collector = AnswerCollector(check, is_head)
         self._buffered_bytes = 0
         self._hold(0)
         self._is_head = is_head
@@ -464,8 +464,6 @@
         if collector.has_ended:
             if collector.status <= INFORMATIONAL_STATUS_MAX:
                 self._fault = "informational answer"
-        elif self._is_head:
-            collector.has_ended = True
         elif not collector.is_framed and not self._accepts_unframed:
             # The end of such an answer can't be told from a cut.
             self._fault = "answer without a length"
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/collector.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/collector.py
@@ -41,6 +41,8 @@
     ----------
     check : callable or None
         Tells which answers belong to the request; the others are passed over.
+    is_head : bool
+        Whether the request was a HEAD, whose answer ends with its head.
 
     Attributes
     ----------
@@ -56,6 +58,7 @@
         "_has_progress",
         "_head_bytes",
         "_is_foreign",
+        "_is_head",
         "_reason",
         "_stalled_bytes",
         "chunks",
@@ -70,8 +73,9 @@
         "surplus",
     )
 
-    def __init__(self, check: AnswerCheck | None = None) -> None:
+    def __init__(self, check: AnswerCheck | None = None, is_head: bool = False) -> None:
         self._check = check
+        self._is_head = is_head
         self._fields = 0
         self._foreign_bytes = 0
         self._has_progress = False
@@ -160,13 +164,17 @@
             raise UnknownStatusError(f"status {status:03d}")
         self.status = status
         self.has_head = True
+        # The parser waits for the body that the head names.
+        self.has_ended = self._is_head
 
     def on_body(self, chunk: bytes) -> None:
-        """Collect a part of the body."""
+        """Collect a part of the body; an answer that has ended has no more of it."""
         self._has_progress = True
         if self._is_foreign:
             self._foreign_bytes += len(chunk)
-        elif not self.has_ended:
+        elif self.has_ended:
+            self.surplus = True
+        else:
             self.chunks.append(chunk)
 
     def on_message_complete(self) -> None:
--- a/tests/cardamomtack_daemon/forwarding/test_surplus_answers.py
+++ b/tests/cardamomtack_daemon/forwarding/test_surplus_answers.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from tests.cardamomtack_daemon.forwarding.callers import HOST
 from tests.cardamomtack_daemon.forwarding.case import ForwardingCase
 from tests.cardamomtack_daemon.forwarding.servers import write_answer, write_not_run
 
@@ -61,6 +62,28 @@
     def test_status_of_a_failure_stays(self):
         self.play_surplus(500, 1)
 
+    def test_bytes_behind_an_answer_to_head_are_no_body(self):
+        # Guards against such bytes that were passed on as the body.
+        async def script(server, request, stream):
+            head = write_answer(request, 200, b"", content_length="5")
+            await stream.send(head + write_answer(request, 500, b"second"))
+
+        async def scenario(vm, servers):
+            for server in servers:
+                server.script = script
+            stream = await anyio.connect_tcp("127.0.0.1", vm.settings.port)
+            async with stream:
+                head = f"HEAD /read/x HTTP/1.1\r\nHost: {HOST}\r\ntest-id: h-1\r\n\r\n"
+                await stream.send(head.encode())
+                received = await stream.receive()
+                with anyio.move_on_after(0.2):
+                    received += await stream.receive()
+            self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
+            self.assertTrue(received.endswith(b"\r\n\r\n"), received)
+            self.assertEqual(received.count(b"\r\n\r\n"), 1)
+
+        self.play(scenario)
+
 
 class _Request:
     """Stands for a request where only the number of answers counts."""
