Name routes by their full prefix, and surplus bytes by what they are

A route had `prefix` (with its host) beside `path_prefix`; the first is now `full_prefix`. The kinds of surplus bytes in test_surplus_answers.py have names in place of numbers. Read as a newcomer would; lint and the tests of routing, translation and surplus answers pass.

--- a/packages/cardamomtack/src/cardamomtack/routing/policy.py
+++ b/packages/cardamomtack/src/cardamomtack/routing/policy.py
@@ -46,7 +46,7 @@
         Why its requests can't be served, in words; None when they can.
     is_public : bool
         Whether its requests need no key of a workspace.
-    prefix : str
+    full_prefix : str
         Host and path prefix, which no other route of a version has; routes of several
         hosts may have one name.
     """
@@ -62,11 +62,12 @@
     priority: int
     fault: str | None = None
     is_public: bool = False
-    prefix: str = field(init=False, compare=False)
+    full_prefix: str = field(init=False, compare=False)
 
     def __post_init__(self) -> None:
         """Put host and path prefix together."""
-        object.__setattr__(self, "prefix", f"{self.host.lower()}{self.path_prefix}")
+        full_prefix = f"{self.host.lower()}{self.path_prefix}"
+        object.__setattr__(self, "full_prefix", full_prefix)
 
     @property
     def is_idempotent(self) -> bool:
--- a/packages/cardamomtack/src/cardamomtack/routing/table.py
+++ b/packages/cardamomtack/src/cardamomtack/routing/table.py
@@ -62,10 +62,10 @@
             routes[route.path_prefix.encode()] = route
             if len(route.parts) < 2:
                 continue
-            known = self._round_robins.get(route.prefix)
+            known = self._round_robins.get(route.full_prefix)
             if known is None or known.parts != route.parts:
                 known = WeightedRoundRobin(route.parts, self._random)
-            splits[route.prefix] = known
+            splits[route.full_prefix] = known
         self._hosts = hosts
         self._round_robins = splits
         self.configuration = configuration
@@ -105,4 +105,4 @@
         """Return the service that the next request of a route goes to."""
         if len(route.parts) == 1:
             return route.parts[0].service
-        return self._round_robins[route.prefix].choose_service()
+        return self._round_robins[route.full_prefix].choose_service()
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/const.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/const.py
@@ -14,10 +14,10 @@
 
 CLOCK_CHECK_S: Final = 0.25
 CLOCK_JUMP_S: Final = 0.4
-DRAIN_CHECK_S: Final = 0.05
 DELIVERY_S_MAX: Final = 0.15
 """Time after the last answers in which they may leave; a part of EXIT_MARGIN_S."""
 
+DRAIN_CHECK_S: Final = 0.05
 EXIT_MARGIN_S: Final = 0.3
 FINISH_FACTOR: Final = 1.5
 """How many times as long as estimated an answer may take before this VM ends."""
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/decisions.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/decisions.py
@@ -98,7 +98,7 @@
             waited_ms=int(call.waited_s * MS_PER_S),
             position=-1 if call.position is None else call.position,
             sends=call.sends,
-            route_prefix=call.route.prefix,
+            route_prefix=call.route.full_prefix,
             workspace=call.workspace.name if call.workspace is not None else "",
         )
         quota = call.quota
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/hedging.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/hedging.py
@@ -182,7 +182,7 @@
         if result.outcome is SendOutcome.ANSWERED:
             duration_s = self._clock.read_monotonic_s() - send.started_s
             self._placer.estimates.record_answer(
-                send.call.route.prefix,
+                send.call.route.full_prefix,
                 duration_s,
                 send.conditions,
                 send.server.slowdown_estimates,
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/opening.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/opening.py
@@ -139,7 +139,9 @@
         if caller_ms is not None:
             caller_s = caller_ms / MS_PER_S
             wait_s = min(wait_s, caller_s)
-            waited_s = self._estimate_waited_s(request, route.prefix, caller_s, now_s)
+            waited_s = self._estimate_waited_s(
+                request, route.full_prefix, caller_s, now_s
+            )
         return ForwardedCall(
             request,
             route,
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -423,7 +423,9 @@
 
     def estimate_work_s(self, call: ForwardedCall) -> float:
         """Return the work of a call on an idle server, in seconds."""
-        return self.estimates.estimate_work_s(call.route.prefix, call.route.objective_s)
+        return self.estimates.estimate_work_s(
+            call.route.full_prefix, call.route.objective_s
+        )
 
     def compute_answer_age_s(self, service: str) -> float:
         """Return the seconds since a server of a service last answered this VM."""
--- a/tests/cardamomtack_daemon/forwarding/test_surplus_answers.py
+++ b/tests/cardamomtack_daemon/forwarding/test_surplus_answers.py
@@ -13,17 +13,16 @@
 GAP_S = 0.02
 
 
-def list_surplus(request):
-    """Return what may stand behind an answer."""
-    return [
-        write_answer(request, 500, b"second"),
-        write_answer(request, 200, b"second"),
-        write_answer(request, 100, b""),
-        write_answer(request, 421, b""),
-        write_not_run(request),
-        b"HTTP/1.1 50",
-        b"no answer",
-    ]
+SURPLUS = {
+    "failure": lambda request: write_answer(request, 500, b"second"),
+    "success": lambda request: write_answer(request, 200, b"second"),
+    "informational": lambda request: write_answer(request, 100, b""),
+    "misdirected": lambda request: write_answer(request, 421, b""),
+    "not run": write_not_run,
+    "part of a status": lambda request: b"HTTP/1.1 50",
+    "no answer": lambda request: b"no answer",
+}
+"""What stands behind an answer to a request."""
 
 
 class SurplusAnswerTest(ForwardingCase):
@@ -31,13 +30,13 @@
 
     def play_surplus(self, first_status, parts):
         """Check what a caller gets whose answer has something behind it."""
-        for number in range(len(list_surplus(_REQUEST))):
-            with self.subTest(first_status=first_status, number=number, parts=parts):
+        for name, write_surplus in SURPLUS.items():
+            with self.subTest(first_status=first_status, surplus=name, parts=parts):
 
-                async def script(server, request, stream, number=number):
+                async def script(server, request, stream, write=write_surplus):
                     server.ran.append(request.headers[b"test-id"].decode())
                     first = write_answer(request, first_status, b"first")
-                    data = first + list_surplus(request)[number]
+                    data = first + write(request)
                     size = -(-len(data) // parts)
                     for start in range(0, len(data), size):
                         await stream.send(data[start : start + size])
@@ -46,8 +45,8 @@
                 async def scenario(vm, servers, script=script):
                     for server in servers:
                         server.script = script
-                    for name in ("b-1", "b-2"):
-                        answer = await vm.async_call("book", name, b"van")
+                    for request_id in ("b-1", "b-2"):
+                        answer = await vm.async_call("book", request_id, b"van")
                         self.assertEqual(answer.status, first_status)
                         self.assertEqual(answer.body, b"first")
                     runs = [one for server in servers for one in server.ran]
@@ -85,14 +84,5 @@
         self.play(scenario)
 
 
-class _Request:
-    """Stands for a request where only the number of answers counts."""
-
-    headers: dict = {}  # noqa: RUF012
-
-
-_REQUEST = _Request()
-
-
 if __name__ == "__main__":
     unittest.main()
