--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/daemon.py
@@ -38,7 +38,7 @@
 from cardamomtack.services.log_service import HttpLogService
 from cardamomtack.services.vm_list import HttpVmList
 from cardamomtack_daemon.admin import async_serve_admin
-from cardamomtack_daemon.http1.connection import ConnectionLimits
+from cardamomtack_daemon.http1.limits import ConnectionLimits
 from cardamomtack_daemon.http1.server import CallerServer
 from cardamomtack_daemon.peers.exchange import PeerExchange
 from cardamomtack_daemon.peers.router import PeerRouter
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/daemon.py
@@ -66,7 +66,7 @@
 from cardamomtack_daemon.forwarding.shared_limits import SharedLimits
 from cardamomtack_daemon.forwarding.suspension import async_watch_clock
 from cardamomtack_daemon.http1.body import BodyMemory
-from cardamomtack_daemon.http1.connection import ConnectionLimits
+from cardamomtack_daemon.http1.limits import ConnectionLimits
 from cardamomtack_daemon.http1.responses import ResponseMemory
 from cardamomtack_daemon.http1.server import CallerServer
 from cardamomtack_daemon.logs import DecisionLog, LogLineWriter
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/client.py
@@ -13,17 +13,6 @@
     Transport,
     get_running_loop,
 )
-from socket import (
-    IPPROTO_TCP,
-    SO_KEEPALIVE,
-    SOL_SOCKET,
-    TCP_KEEPCNT,
-    TCP_KEEPIDLE,
-    TCP_KEEPINTVL,
-    TCP_NODELAY,
-    TCP_USER_TIMEOUT,
-    socket,
-)
 from typing import cast
 
 from httptools import HttpParserError
@@ -34,18 +23,15 @@
     AnswerCollector,
     EndlessAnswerError,
 )
+from cardamomtack_daemon.http1.keepalive import enable_tcp_keepalive
 from cardamomtack_daemon.http1.messages import HttpAnswer
 from cardamomtack_daemon.http1.receiving import RECEIVE_BUFFER, bound_socket_buffers
 from cardamomtack_daemon.http1.responses import SMALL_BYTES, ResponseMemory
 
 INFORMATIONAL_STATUS_MAX = 199
-KEEPALIVE_PROBES_MAX = 2
-KEEPALIVE_S = 1
 STREAM_BUFFER_BYTES_MAX = 65_536
 """Most that is read of a long answer before it is passed on."""
 
-UNACKNOWLEDGED_MS_MAX = 2500
-
 
 class BrokenAnswerError(Exception):
     """The connection ended or was malformed before the answer was whole.
@@ -469,16 +455,6 @@
             self._fault = "answer without a length"
 
 
-def enable_tcp_keepalive(connected: socket) -> None:
-    """Have the kernel end a connection whose other end has gone silent."""
-    connected.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
-    connected.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_S)
-    connected.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_S)
-    connected.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES_MAX)
-    connected.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS_MAX)
-    connected.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-
-
 async def async_connect(
     address: str, port: int, now_s: float, uses_tcp_keepalive: bool = False
 ) -> ServerConnection:
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/connection.py
@@ -20,15 +20,14 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from cardamomtack.helpers.clock import Clock
-from cardamomtack.memory.budget import MemoryBudget
 from cardamomtack_daemon.http1.body import (
     BODY_WINDOW_BYTES,
     READ_BYTES_MAX,
     BodyAbortedError,
-    BodyMemory,
     BodyStream,
 )
 from cardamomtack_daemon.http1.hangups import HangupWatcher
+from cardamomtack_daemon.http1.limits import ConnectionLimits
 from cardamomtack_daemon.http1.messages import (
     FIELDS_MAX,
     HeaderList,
@@ -42,7 +41,6 @@
     build_problem,
 )
 from cardamomtack_daemon.http1.receiving import RECEIVE_BUFFER
-from cardamomtack_daemon.http1.responses import ResponseMemory
 
 BODY_HELD_BYTES_MAX = BODY_WINDOW_BYTES + READ_BYTES_MAX
 """What one request may hold of its body."""
@@ -52,12 +50,10 @@
 FIELD_OVERHEAD_BYTES = 160
 """What a header field takes in memory beside its bytes."""
 
-HEAD_BYTES_MAX = 65536
 HEAD_FREE_BYTES = 8192
 """Part of a head that is not counted if no other request waits before it."""
 
 HEAD_STEP_BYTES = 1024
-HEAD_TIMEOUT_S = 30.0
 LINGER_S = 2.0
 """For how long the rest of a body is read after its request has been answered."""
 
@@ -81,66 +77,6 @@
         """Have the requests of a new connection answered."""
 
 
-class ConnectionLimits:
-    """Bounds of caller connections.
-
-    Parameters
-    ----------
-    body_bytes_max : int
-        Largest request body, in bytes.
-    connections_max : int
-        Open connections.
-    idle_s : float
-        Time after which an idle connection is closed, in seconds.
-    head_bytes_max : int
-        Largest head of a request, in bytes.
-    head_s : float
-        Time for the head of a request, from its first byte on, in seconds.
-    cancels_abandoned : bool
-        Whether the work on a request ends when its caller has gone. Work that others
-        wait for, as that on a claim, goes on.
-    memory : BodyMemory or None
-        Bounds what is held of the bodies of all requests, which are then handed on as
-        they arrive; None hands them on whole.
-    heads : MemoryBudget or None
-        Bounds what is held of large heads and of requests that wait behind another.
-    responses : ResponseMemory or None
-        Counts what is held of responses that are not taken.
-    """
-
-    __slots__ = (
-        "body_bytes_max",
-        "cancels_abandoned",
-        "connections_max",
-        "head_bytes_max",
-        "head_s",
-        "heads",
-        "idle_s",
-        "memory",
-        "responses",
-    )
-
-    def __init__(
-        self,
-        body_bytes_max: int,
-        connections_max: int,
-        idle_s: float,
-        cancels_abandoned: bool = False,
-        memory: BodyMemory | None = None,
-        heads: MemoryBudget | None = None,
-        responses: ResponseMemory | None = None,
-    ) -> None:
-        self.body_bytes_max = body_bytes_max
-        self.cancels_abandoned = cancels_abandoned
-        self.connections_max = connections_max
-        self.head_bytes_max = HEAD_BYTES_MAX
-        self.head_s = HEAD_TIMEOUT_S
-        self.heads = heads
-        self.idle_s = idle_s
-        self.memory = memory
-        self.responses = responses
-
-
 class CallerGoneError(Exception):
     """The caller closed its connection."""
 
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/server.py
@@ -12,12 +12,9 @@
 from cardamomtack.helpers.clock import Clock
 from cardamomtack_daemon.http1.body import BodyAbortedError
 from cardamomtack_daemon.http1.client import BrokenAnswerError
-from cardamomtack_daemon.http1.connection import (
-    CallerConnection,
-    CallerGoneError,
-    ConnectionLimits,
-)
+from cardamomtack_daemon.http1.connection import CallerConnection, CallerGoneError
 from cardamomtack_daemon.http1.hangups import HangupWatcher
+from cardamomtack_daemon.http1.limits import ConnectionLimits
 from cardamomtack_daemon.http1.messages import (
     HttpAnswer,
     HttpRequest,
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/connection.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/tunnels/connection.py
@@ -12,7 +12,8 @@
 from cardamomtack.generated.tunnel import TunnelMessage, TunnelOpen
 from cardamomtack.helpers.decoding import DECODE_ERRORS
 from cardamomtack.reach.helpers import HelperTable
-from cardamomtack_daemon.http1.client import ServerConnection, enable_tcp_keepalive
+from cardamomtack_daemon.http1.client import ServerConnection
+from cardamomtack_daemon.http1.keepalive import enable_tcp_keepalive
 from cardamomtack_daemon.http1.receiving import bound_socket_buffers
 from cardamomtack_daemon.peers.const import FRAME_LENGTH_BYTES
 from cardamomtack_daemon.peers.stream import encode_frame
--- a/tests/cardamomtack_daemon/http1/test_bounds.py
+++ b/tests/cardamomtack_daemon/http1/test_bounds.py
@@ -8,7 +8,7 @@
 import anyio
 
 from cardamomtack.helpers.clock import SystemClock
-from cardamomtack_daemon.http1.connection import ConnectionLimits
+from cardamomtack_daemon.http1.limits import ConnectionLimits
 from cardamomtack_daemon.http1.messages import HttpAnswer
 from cardamomtack_daemon.http1.server import CallerServer
 from cardamomtack_standins.fleet import find_free_ports
--- a/tests/cardamomtack_daemon/http1/test_endless_callers.py
+++ b/tests/cardamomtack_daemon/http1/test_endless_callers.py
@@ -11,7 +11,7 @@
 
 from cardamomtack.helpers.clock import SystemClock
 from cardamomtack_daemon.http1.body import BodyMemory
-from cardamomtack_daemon.http1.connection import ConnectionLimits
+from cardamomtack_daemon.http1.limits import ConnectionLimits
 from cardamomtack_daemon.http1.messages import HttpAnswer
 from cardamomtack_daemon.http1.server import CallerServer
 from cardamomtack_standins.fleet import find_free_ports
--- a/tests/cardamomtack_daemon/http1/test_responses.py
+++ b/tests/cardamomtack_daemon/http1/test_responses.py
@@ -9,7 +9,8 @@
 
 from cardamomtack.helpers.clock import ManualClock
 from cardamomtack.memory.budget import ResponseBudget
-from cardamomtack_daemon.http1.connection import CallerConnection, ConnectionLimits
+from cardamomtack_daemon.http1.connection import CallerConnection
+from cardamomtack_daemon.http1.limits import ConnectionLimits
 from cardamomtack_daemon.http1.responses import ResponseMemory
 
 LIMIT_BYTES = 1000
--- a/tests/cardamomtack_daemon/http1/test_server.py
+++ b/tests/cardamomtack_daemon/http1/test_server.py
@@ -8,7 +8,7 @@
 
 from cardamomtack.helpers.clock import SystemClock
 from cardamomtack_daemon.http1.client import BrokenAnswerError
-from cardamomtack_daemon.http1.connection import ConnectionLimits
+from cardamomtack_daemon.http1.limits import ConnectionLimits
 from cardamomtack_daemon.http1.messages import HttpAnswer, HttpRequest
 from cardamomtack_daemon.http1.server import AnswerSource, CallerServer
 from cardamomtack_standins.fleet import find_free_ports
