--- a/tests/cardamomtack_daemon/forwarding/test_answers.py
+++ b/tests/cardamomtack_daemon/forwarding/test_answers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import anyio
 
 from tests.cardamomtack_daemon.forwarding.case import ForwardingCase
@@ -214,15 +216,7 @@
             self.assertEqual(sum(len(one.requests) for one in servers), 1)
 
         routes = tuple(
-            type(route)(
-                **{
-                    name: getattr(route, name)
-                    for name in route.__slots__
-                    if name != "attempts_max"
-                },
-                attempts_max=1,
-            )
-            for route in make_configuration().routes
+            replace(route, attempts_max=1) for route in make_configuration().routes
         )
         self.play(scenario, configuration=make_configuration(1, routes))
 
