Give back the connections of probes whose caller has left

Found while the places were read that give connections back: when a caller leaves (or its request is refused at the end of its VM) while servers are probed, the probes that had been answered lost their connections, which stayed open at the servers, neither kept nor closed, until the servers closed them. They count among what a server accepts from all callers.

A search that is broken off now gives them back, within a round of probes and between the rounds of the own zone and the others.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from asyncio import CancelledError
 from dataclasses import dataclass
 from math import inf
 
@@ -293,9 +294,13 @@
 
         for is_own_zone in (True, False):
             servers = self._sample(service, call, queue, is_own_zone)
-            answers = await self._prober.async_probe_in_turn(
-                service, servers, is_enough
-            )
+            try:
+                answers = await self._prober.async_probe_in_turn(
+                    service, servers, is_enough
+                )
+            except CancelledError:
+                self._prober.release(probed, None)
+                raise
             self._record_finds(service, answers)
             probed += answers
             if any(is_enough(one) for one in probed):
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/prober.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from asyncio import CancelledError
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -174,6 +175,23 @@
     ) -> list[ProbedServer]:
         """Probe servers in turn, and return those that have answered in time."""
         round_ = _ProbeRound()
+        try:
+            await self._async_run_round(service, servers, turn_s, is_enough, round_)
+        except CancelledError:
+            self.release(round_.answers, None)
+            raise
+        self._record_missing(round_)
+        return round_.answers
+
+    async def _async_run_round(
+        self,
+        service: ServiceView,
+        servers: list[ServerView],
+        turn_s: float,
+        is_enough: Callable[[ProbedServer], bool],
+        round_: _ProbeRound,
+    ) -> None:
+        """Probe servers in turn until enough have answered, or their time is up."""
 
         async def ask(server: ServerView) -> None:
             connection = await self._async_probe_server(service, server, round_)
@@ -197,8 +215,6 @@
                 while round_.missing and not round_.answers:
                     await round_.async_wait(LOAD_PROBE_TIMEOUT_S_MAX)
             tasks.cancel_scope.cancel()
-        self._record_missing(round_)
-        return round_.answers
 
     def _record_missing(self, round_: _ProbeRound) -> None:
         """Record which servers did not answer in time."""
