Give back the connection of a second send that never began

Found while the places were read that give connections back: a second send beside a late one may be given up before its first byte, when the first one is answered in the same turn of the event loop. Its connection was then neither kept nor closed, and what it had been counted against the limit of its server was not given back.

Ending a send that has not begun now gives both back.

test_connection_of_a_send_that_never_began_is_given_back failed before (no idle connection).

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/attempt.py
@@ -69,6 +69,7 @@
     __slots__ = (
         "_framer",
         "_has_begun",
+        "_has_ended",
         "_sender",
         "call",
         "conditions",
@@ -90,6 +91,7 @@
     ) -> None:
         self._framer = BodyFramer(call.request.length)
         self._has_begun = False
+        self._has_ended = False
         self._sender = sender
         self.call = call
         self.conditions = build_send_conditions(probed.server)
@@ -188,9 +190,12 @@
         An answer that has not arrived is given up: its connection is closed, and the
         server drops the work.
         """
+        if self._has_ended:
+            return
+        self._has_ended = True
         if not self._has_begun:
+            self._sender.release_unused(ProbedServer(self.server, self.connection))
             return
-        self._has_begun = False
         now_s = self._sender.read_now_s()
         self.record.is_body_sent = self._framer.has_ended
         self.record.duration_ms = int((now_s - self.started_s) * MS_PER_S)
--- a/tests/cardamomtack_daemon/forwarding/test_abandoned_probes.py
+++ b/tests/cardamomtack_daemon/forwarding/test_abandoned_probes.py
@@ -4,6 +4,8 @@
 
 import anyio
 
+from cardamomtack_daemon.http1.messages import HttpRequest
+from tests.cardamomtack_daemon.forwarding.callers import HOST
 from tests.cardamomtack_daemon.forwarding.case import ForwardingCase
 
 CALLERS = 20
@@ -36,3 +38,15 @@
             self.assertEqual(pool.opened - pool.discarded, idle)
 
         self.play(scenario, servers=6)
+
+    def test_connection_of_a_send_that_never_began_is_given_back(self):
+        async def scenario(vm, servers):
+            placer, sender = vm.daemon._forwarder._placer, vm.daemon._sender
+            headers = [(b"host", HOST.encode()), (b"test-id", b"r-1")]
+            request = HttpRequest(b"GET", b"/read/x", headers, b"")
+            call = vm.daemon._opener.open_call(request)
+            probed = await placer.async_place(call)
+            sender.open_send(call, probed, 0.1).close()
+            self.assertTrue(vm.daemon._pool.has_idle(probed.server))
+
+        self.play(scenario, servers=1)
