Say in two docstrings what a reader had to look up

The error of an unknown status and the search for a server of a VM that may be leaving; read as a newcomer would.

--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/forwarding/placer.py
@@ -145,7 +145,7 @@
     async def _async_place(
         self, call: ForwardedCall, may_wait: bool
     ) -> ProbedServer | None:
-        """Return a server, however long that takes."""
+        """Return a server, whether this VM is leaving or not."""
         service = self._registry.find_service(call.service)
         if may_wait and not call.sends and not self._admits(call):
             call.refusal = REASON_URGENT
--- a/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/collector.py
+++ b/packages/cardamomtack_daemon/src/cardamomtack_daemon/http1/collector.py
@@ -152,7 +152,7 @@
         Raises
         ------
         UnknownStatusError
-            When it is none of HTTP.
+            When HTTP doesn't have its status.
         """
         if self.has_ended:
             return
