--- a/review/standins3.py
+++ b/review/standins3.py
@@ -14,6 +14,7 @@
 import os
 import random
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -562,6 +563,7 @@
                 daemon.process.send_signal(signal.SIGCONT)
                 daemon.process.kill()
                 await asyncio.to_thread(daemon.process.wait)
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 EXIT_BROKEN = 3
